--- /dev/null
+++ b/src/decide.cpp
@@ -0,0 +1,871 @@
+// All decisions of laureltide. Interface: include/laureltide/dispatcher.h. Design: docs/design.md.
+//
+// The ordinary path is that of "Optimal Content Replication and Request Matching in Large Caching
+// Systems": a greedy matching of functions' flow to workers' flow and slots sets targets (sections IV, V),
+// and each request goes to a uniformly random warm worker with room (Random Available Server).
+// Sections: tuned values, state, membership, demand, beliefs, greedy plan, orders, routing, attempts,
+// rules.
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <string>
+#include <tuple>
+#include <utility>
+
+#include "laureltide/dispatcher.h"
+
+namespace laureltide {
+namespace {
+
+using namespace std::chrono_literals;
+
+// ---- Tuned values ---------------------------------------------------------------------------------
+
+constexpr Duration kReplanEvery = 2s;      // between greedy runs (design page)
+constexpr Duration kFirstReplan = 400ms;   // a new life plans as soon as a few requests told of demand
+constexpr double kJitter = 0.2;            // share; keeps front ends from acting in step
+constexpr double kFlowHeadroom = 1.5;      // worker flow over mean busy lanes (design page)
+constexpr Duration kDemandMemory = 5s;     // decay of demand: some replans long, shorter than a spell
+constexpr int kReplansToDrop = 4;          // "several" unpaired replans before an own copy is dropped
+constexpr double kCallsToHold = 0.5;       // calls in a keep-alive below which idling out is cheaper
+constexpr double kRenewAt = 0.6;           // share of the keep-alive after which a hold is renewed
+constexpr double kPlannedRation = 0.7;     // share of the order ration that planned orders may use
+constexpr int kLoadsPerWorker = 2;         // own loads out at one worker; its line is shared
+constexpr Duration kOrderLost = 4s;        // an order unanswered for so long no longer holds others back
+constexpr Duration kFullRest = 150ms;      // a full worker sheds its excess in about a service time
+constexpr Duration kNoMemoryRest = 2s;     // memory frees slower: when other copies idle out
+constexpr Duration kSweepEvery = 20ms;     // looks at held requests and silent workers
+constexpr Duration kSilence = 500ms;       // added to twice the usual answer time before a worker is silent
+constexpr Duration kAskSuspectEvery = 1s;  // how often a silent worker is asked for a sign of life
+constexpr double kRecent = 0.15;           // weight of a new sample in running means
+constexpr double kSlow = 2.5;              // answer time over the fleet's, from which a worker is slow
+constexpr Duration kReportFresh = 600ms;   // reports older than this say little
+constexpr double kColdShare = 1.0;         // cold worker's share of the usual rate, while others have room
+constexpr double kColdLimit = 0.6;         // part of the fall multiple ever used: others are unseen
+constexpr Duration kHoldBack = 40ms;       // a request that nothing can serve is answered this early
+constexpr int kMostInstances = 16;         // that one order may name
+
+constexpr TimerToken kReplanToken = 1, kSweepToken = 2, kListToken = 3, kDeadlineTokens = 1ULL << 32;
+
+std::uint64_t mix(std::uint64_t x) {
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+// Own generator and bounded draw: standard distributions differ between libraries.
+class Random {
+ public:
+  explicit Random(std::uint64_t seed) : state_(seed) {}
+  std::uint64_t next() { return mix(state_ += 0x9e3779b97f4a7c15ULL); }
+  double unit() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }
+  std::size_t below(std::size_t n) { return static_cast<std::size_t>(unit() * static_cast<double>(n)); }
+
+ private:
+  std::uint64_t state_;
+};
+
+double seconds(Duration d) {
+  return std::chrono::duration<double>(d).count();
+}
+Duration from_seconds(double s) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
+}
+double sane(double value, double otherwise) {
+  return std::isfinite(value) && value >= 0 ? value : otherwise;
+}
+void blend(double& mean, double sample) {
+  mean = mean < 0 ? sample : mean + kRecent * (sample - mean);
+}
+
+// The order in which front ends that know nothing of each other agree to try workers for a function.
+std::uint64_t affinity(FunctionId function, WorkerId worker) {
+  return mix(static_cast<std::uint64_t>(function) ^ mix(static_cast<std::uint64_t>(worker) + 1));
+}
+
+// A sum that forgets: events a second over the last few `kDemandMemory`, unbiased from the first on.
+struct Rate {
+  double mass = 0;
+  Time at{}, since{};
+  void settle(Time now) {
+    mass *= std::exp(-seconds(now - at) / seconds(kDemandMemory));
+    at = now;
+  }
+  void add(Time now, double amount) {
+    settle(now);
+    mass += amount;
+  }
+  double per_second(Time now) {
+    settle(now);
+    const double span =
+        seconds(kDemandMemory) * (1 - std::exp(-seconds(now - since) / seconds(kDemandMemory)));
+    return mass / std::max(span, 0.5);
+  }
+};
+
+// What is believed of one function at one worker.
+struct Pair {
+  int copies = 0;   // believed to stand; 0: none or unknown
+  Time seen{};      // last sign that they stand: they idle out from here
+  int ordered = 0;  // count of the order that is out, if any
+  Time ordered_at{};
+  int loading_calls = 0;  // own calls out that found no warm copy believed
+  int in_flight = 0;      // own calls out
+  int target = 0;         // copies wanted by the plan
+  int unpaired = 0;       // replans since the plan last wanted one
+  bool placed = false;    // an own order brought a copy
+  Time full_until{};      // no lane, or no memory for another copy
+};
+
+struct Function {
+  FunctionId id{};
+  ClassIndex request_class = 0;
+  double lanes = 1, memory_mb = 0, run_s = -1;
+  Rate calls;
+  double flow = 0;  // left to match, in busy lanes, during a plan
+  std::map<WorkerId, Pair> pairs;
+};
+
+struct Worker {
+  WorkerEntry entry;
+  bool known = false;  // its list entry is current
+  int in_flight = 0;
+  Time heard{};          // last answer of any kind
+  bool suspect = false;  // silent, or its connections fail
+  Time asked{};
+  std::optional<Time> cold_since;
+  std::deque<std::pair<Time, double>> cold_sends;  // weight of own sends while cold
+  double slowness = 1;                             // answer time over what the function usually takes
+  LoadReport report;
+  Time reported{};
+  Time full_until{};
+  double flow = 0;  // during a plan
+  double slots = 0;
+};
+
+enum class Fate { kOut, kNeverRan, kMayHaveRun };
+
+struct Attempt {
+  WorkerId worker{};
+  Time sent{};
+  Fate fate = Fate::kOut;
+  bool warm = false;  // the copy was believed to stand
+  bool cancelled = false;
+};
+
+struct Open {
+  Request request;
+  Time arrived{};
+  std::vector<Attempt> attempts;
+  int out = 0;
+  bool answered = false, streaming = false;
+};
+
+}  // namespace
+
+struct Dispatcher::State {
+  Settings settings;
+  Random random;
+  Time now, start;
+  ActionSink& sink;
+  std::map<WorkerId, Worker> workers;
+  std::map<FunctionId, Function> functions;
+  std::map<RequestId, Open> open;
+  std::uint64_t list_version = 0;
+  bool have_list = false;
+  std::vector<double> class_run_s;
+  Rate sent_weight;                   // own work sent, in seconds of run time
+  std::deque<Time> orders, arrivals;  // within the ration's window
+  bool sweeping = false;
+
+  State(Settings s, std::uint64_t seed, Time begin, ActionSink& out)
+      : settings(std::move(s)), random(seed), now(begin), start(begin), sink(out) {
+    class_run_s.assign(settings.classes.size(), -1);
+    sent_weight.since = sent_weight.at = begin;
+    sink.wake(jittered(kFirstReplan), kReplanToken);
+    if (settings.list_must_be_asked) sink.subscribe(true);
+  }
+
+  Duration jittered(Duration d) {
+    return from_seconds(seconds(d) * (1 + kJitter * (2 * random.unit() - 1)));
+  }
+  void tick(Time t) { now = std::max(now, t); }
+  const RequestClass& class_of(const Request& r) const { return settings.classes[r.request_class]; }
+
+  // ---- Membership -------------------------------------------------------------------------------
+
+  void update_list(const ListUpdate& update) {
+    if (update.scope == ListScope::kFailed) {  // the old list stands; ask again, not all at once
+      if (settings.list_must_be_asked) sink.wake(jittered(500ms), kListToken);
+      return;
+    }
+    if (update.scope == ListScope::kChanges && have_list && update.version <= list_version) return;
+    if (update.scope == ListScope::kFull && have_list && update.version < list_version) return;
+    have_list = true;
+    list_version = update.version;
+    if (update.scope != ListScope::kChanges)
+      for (auto& [id, worker] : workers) worker.known = false;
+    for (const WorkerEntry& entry : update.entries) {
+      auto [it, fresh] = workers.try_emplace(entry.id);
+      Worker& worker = it->second;
+      const bool restarted = !fresh && entry.started && entry.started != worker.entry.started;
+      if (restarted) forget_worker(entry.id);
+      if (restarted || (fresh && entry.started)) worker.cold_since = std::min(*entry.started, now);
+      if (restarted) worker.suspect = false;
+      if (fresh) worker.heard = now;
+      worker.entry = entry;
+      worker.known = true;
+    }
+    for (auto& [id, worker] : workers) {
+      if (!worker.known) worker.entry.state = WorkerState::kGone;
+      if (worker.entry.state == WorkerState::kGone) forget_worker(id);
+    }
+  }
+
+  bool ready(const Worker& worker) const {
+    return worker.known && worker.entry.state == WorkerState::kReady;
+  }
+
+  // A restart empties a worker: nothing believed of it holds any more.
+  void forget_worker(WorkerId id) {
+    for (auto& [fid, function] : functions)
+      if (auto it = function.pairs.find(id); it != function.pairs.end()) {
+        it->second.copies = it->second.ordered = 0;
+        it->second.placed = false;
+      }
+  }
+
+  // Share of its capacity that a worker surely has: a straight line from the cold share to the whole.
+  double warmth(const Worker& worker) const {
+    if (!worker.cold_since || settings.rules.cold_for <= 0ns) return 1;
+    const double age = seconds(now - *worker.cold_since) / seconds(settings.rules.cold_for);
+    return age >= 1 ? 1 : settings.rules.cold_from + (1 - settings.rules.cold_from) * std::max(age, 0.0);
+  }
+
+  double slowness(const Worker& worker) const { return std::max(1.0, worker.slowness); }
+
+  // ---- Demand -----------------------------------------------------------------------------------
+
+  double run_seconds(const Function& f) const {
+    if (f.run_s > 0) return f.run_s;
+    if (class_run_s[f.request_class] > 0) return class_run_s[f.request_class];
+    return std::max(0.01, seconds(settings.classes[f.request_class].target) / 4);
+  }
+
+  Function& learn_function(const Request& r) {
+    auto [it, fresh] = functions.try_emplace(r.function);
+    Function& f = it->second;
+    if (fresh) {
+      f.id = r.function;
+      f.calls.at = now;
+      f.calls.since = start;
+    }
+    f.request_class = r.request_class;
+    f.lanes = std::max(1.0, std::floor(sane(r.lanes, 1)));
+    f.memory_mb = sane(r.memory_mb, 0);
+    f.calls.add(now, 1);
+    return f;
+  }
+
+  // Mean work of a send, by class, as the cold rule weighs it.
+  double weight(ClassIndex c) const { return class_run_s[c] > 0 ? class_run_s[c] : 0.2; }
+
+  // ---- Beliefs ----------------------------------------------------------------------------------
+
+  bool believed_warm(const Pair& p) const {
+    return p.copies > 0 && (p.in_flight > 0 || now - p.seen < settings.instances.keep_alive);
+  }
+  bool loading(const Pair& p) const { return p.ordered > 0 && now - p.ordered_at < kOrderLost; }
+
+  void saw_warm(Function& f, Pair& p) {
+    (void)f;
+    p.copies = std::max(p.copies, 1);
+    p.seen = now;
+  }
+
+  // A copy that was believed warm was not there. One eviction and a new release look alike from here: both
+  // void what is believed of the function elsewhere, and asking again where copies stand costs no load.
+  // Also guards against other front ends' releases. May hurt where workers evict often: more orders.
+  void saw_cold(Function& f, WorkerId at, Time sent) {
+    for (auto& [id, p] : f.pairs) {
+      if (id == at) p.copies = 0;
+      if (p.seen <= sent && !p.in_flight) p.copies = 0;
+    }
+  }
+
+  void hear(WorkerId id, const LoadReport& report) {
+    Worker& worker = workers[id];
+    worker.heard = now;
+    const bool any = report.waiting || report.in_hand || report.busy_cores;
+    if (any) {
+      worker.report = report;
+      worker.reported = now;
+    }
+  }
+
+  void suspect(WorkerId id, const char* why) {
+    Worker& worker = workers[id];
+    if (worker.suspect) return;
+    worker.suspect = true;
+    worker.asked = now;
+    sink.log("worker " + std::to_string(static_cast<std::uint32_t>(id)) + " suspect: " + why);
+    start_sweep();
+  }
+
+  // It answers again. What died in between came back empty and cold, whether or not the list says so yet.
+  void trust(WorkerId id, bool restarted) {
+    Worker& worker = workers[id];
+    if (!worker.suspect) return;
+    worker.suspect = false;
+    if (!restarted) return;
+    forget_worker(id);
+    worker.cold_since = std::max(now, worker.cold_since.value_or(now));
+  }
+
+  // ---- Greedy plan ------------------------------------------------------------------------------
+
+  void match(Function& f, WorkerId id, Worker& worker) {
+    const double matched = std::min(worker.flow, f.flow);
+    const double copies = std::min(
+        {std::ceil(matched / f.lanes), std::floor(worker.slots), static_cast<double>(kMostInstances)});
+    worker.flow -= matched;
+    f.flow -= matched;
+    worker.slots -= copies;
+    f.pairs[id].target = static_cast<int>(copies);
+  }
+
+  void replan() {
+    double total = 0, memory = 0, share = 0;
+    std::vector<Function*> wanted;
+    for (auto& [id, f] : functions) {
+      const double rate = f.calls.per_second(now);
+      f.flow = rate * run_seconds(f);
+      if (rate * seconds(settings.instances.keep_alive) < kCallsToHold) f.flow = 0;
+      if (f.flow <= 0) continue;
+      wanted.push_back(&f);
+      total += f.flow;
+      memory += f.memory_mb;
+    }
+    std::vector<std::pair<WorkerId, Worker*>> fleet;
+    for (auto& [id, worker] : workers)
+      if (ready(worker) && !worker.suspect) {
+        fleet.emplace_back(id, &worker);
+        share += warmth(worker) / slowness(worker);
+      }
+    for (auto& [id, worker] : fleet) {
+      worker->flow = kFlowHeadroom * total * warmth(*worker) / slowness(*worker) / share;
+      const auto& sizes = settings.instances.memory_mb_by_kind;
+      const double size = worker->entry.kind < sizes.size() ? sizes[worker->entry.kind] : 0;
+      worker->slots = memory > 0 && size > 0
+                          ? std::max(1.0, size / (memory / static_cast<double>(wanted.size())))
+                          : static_cast<double>(wanted.size());
+    }
+    std::stable_sort(wanted.begin(), wanted.end(), [](auto* a, auto* b) { return a->flow > b->flow; });
+    for (Function* f : wanted)  // current pairs that still get flow are kept first
+      for (auto& [id, pair] : f->pairs) {
+        const bool current = std::exchange(pair.target, 0) > 0;
+        const auto at = std::find_if(fleet.begin(), fleet.end(), [&](auto& w) { return w.first == id; });
+        if (current && at != fleet.end() && f->flow > 0 && at->second->flow > 0 && at->second->slots >= 1)
+          match(*f, id, *at->second);
+      }
+    for (auto& [id, f] : functions)
+      if (f.flow <= 0 && std::find(wanted.begin(), wanted.end(), &f) == wanted.end())
+        for (auto& [wid, pair] : f.pairs) pair.target = 0;
+    while (true) {
+      const auto f = std::max_element(wanted.begin(), wanted.end(),
+                                      [](auto* a, auto* b) { return a->flow < b->flow; });
+      if (f == wanted.end() || (*f)->flow <= 1e-9) break;
+      // The paper maximises min(worker flow, function flow): all workers that can take the whole function
+      // tie. Ties go to a warm copy, then by hash, so that front ends share copies without talking.
+      const std::pair<WorkerId, Worker*>* best = nullptr;
+      auto rank = [&](const std::pair<WorkerId, Worker*>& w) {
+        const auto p = (*f)->pairs.find(w.first);
+        const bool warm = p != (*f)->pairs.end() && believed_warm(p->second);
+        return std::tuple(std::min(w.second->flow, (*f)->flow), warm, affinity((*f)->id, w.first));
+      };
+      for (const auto& w : fleet) {
+        if (w.second->slots < 1 || w.second->flow <= 1e-9) continue;
+        const auto p = (*f)->pairs.find(w.first);
+        if (p != (*f)->pairs.end() && (p->second.target > 0 || p->second.full_until > now)) continue;
+        if (!best || rank(w) > rank(*best)) best = &w;
+      }
+      if (best)
+        match(**f, best->first, *best->second);
+      else
+        (*f)->flow = 0;
+    }
+    place_orders(wanted);
+  }
+
+  // ---- Orders -----------------------------------------------------------------------------------
+
+  void place_orders(const std::vector<Function*>& wanted) {
+    for (Function* f : wanted)
+      for (auto& [id, pair] : f->pairs) {
+        if (pair.target <= 0 || !workers[id].known) continue;
+        const bool stands = believed_warm(pair) && pair.copies >= pair.target;
+        const bool ageing =
+            now - pair.seen > from_seconds(kRenewAt * seconds(settings.instances.keep_alive));
+        if (!stands || (ageing && pair.in_flight == 0)) order(*f, id, pair.target, false);
+      }
+    for (auto& [fid, f] : functions)
+      for (auto& [id, pair] : f.pairs) {
+        pair.unpaired = pair.target > 0 ? 0 : pair.unpaired + 1;
+        const bool drop =
+            pair.placed && pair.unpaired >= kReplansToDrop && believed_warm(pair) && !pair.in_flight;
+        if (!drop || settings.instances.idle_memory_cost <= 0 || !ready(workers[id])) continue;
+        sink.release(id, fid);
+        pair.copies = 0;
+        pair.placed = false;
+      }
+  }
+
+  // The only gate for hold orders. Rules: drains, and the ration.
+  bool order(Function& f, WorkerId id, int count, bool asked_for) {
+    Worker& worker = workers[id];
+    Pair& pair = f.pairs[id];
+    if (!settings.instances.orders || !ready(worker) || worker.suspect) return false;
+    if (loading(pair) || pair.full_until > now) return false;
+    const bool load = !believed_warm(pair) || pair.copies < count;
+    if (load && loads_out(id) >= kLoadsPerWorker) return false;
+    if (!within_ration(asked_for ? 1.0 : kPlannedRation)) return false;
+    pair.ordered = std::clamp(count, 1, kMostInstances);
+    pair.ordered_at = now;
+    orders.push_back(now);
+    sink.hold(id, f.id, pair.ordered);
+    return true;
+  }
+
+  int loads_out(WorkerId id) const {
+    int n = 0;
+    for (const auto& [fid, f] : functions)
+      if (auto p = f.pairs.find(id);
+          p != f.pairs.end() && loading(p->second) && p->second.copies < p->second.ordered)
+        ++n;
+    return n;
+  }
+
+  // Rule 5. The edges of the window are taken against us: orders count a little longer than requests.
+  bool within_ration(double part) {
+    const Instances& in = settings.instances;
+    if (in.order_window <= 0ns) return true;
+    while (!orders.empty() && now - orders.front() > in.order_window + settings.tick) orders.pop_front();
+    while (!arrivals.empty() && now - arrivals.front() >= in.order_window - settings.tick)
+      arrivals.pop_front();
+    const double allowed = in.order_floor + in.orders_per_request * static_cast<double>(arrivals.size());
+    return static_cast<double>(orders.size()) + 1 <= allowed * part;
+  }
+
+  void hold_answered(const HoldResult& result) {
+    const auto w = workers.find(result.worker);
+    const auto fit = functions.find(result.function);
+    if (w == workers.end() || fit == functions.end()) return;
+    Function& f = fit->second;
+    Pair& pair = f.pairs[result.worker];
+    pair.ordered = 0;
+    if (result.outcome == Outcome::kConnectFailed || result.outcome == Outcome::kReset) {
+      pair.copies = 0;
+      suspect(result.worker, "order not delivered");
+      return;
+    }
+    if (result.outcome == Outcome::kTimeout) return;
+    hear(result.worker, {});
+    trust(result.worker, true);
+    pair.copies = std::max(0, result.instances);
+    if (pair.copies > 0) pair.seen = now, pair.placed = true;
+    if (result.outcome == Outcome::kFull) pair.full_until = now + jittered(kNoMemoryRest);
+    release_held();
+  }
+
+  // ---- Routing ----------------------------------------------------------------------------------
+
+  bool rested(const Open& o, WorkerId id, const Worker& worker, const Function& f) const {
+    const auto p = f.pairs.find(id);
+    if (worker.full_until > now || (p != f.pairs.end() && p->second.full_until > now)) return false;
+    return std::none_of(o.attempts.begin(), o.attempts.end(),
+                        [&](const Attempt& a) { return a.worker == id && a.fate != Fate::kNeverRan; });
+  }
+
+  bool busy(const Worker& worker) const {
+    if (now - worker.reported > kReportFresh) return false;
+    if (worker.report.waiting) return *worker.report.waiting >= 1;
+    return worker.report.busy_cores && *worker.report.busy_cores >= 0.97F;
+  }
+
+  std::optional<WorkerId> choose(const Open& o, Function& f, bool desperate) {
+    std::vector<WorkerId> roomy, calm;
+    std::optional<WorkerId> target, hashed;
+    int target_load = 0;
+    for (auto& [id, worker] : workers) {
+      if (!ready(worker) || (worker.suspect && !desperate) || !rested(o, id, worker, f)) continue;
+      if (!may_send(o, id, worker, desperate)) continue;
+      const auto it = f.pairs.find(id);
+      Pair* pair = it == f.pairs.end() ? nullptr : &it->second;
+      if (pair && believed_warm(*pair)) {
+        if (pair->in_flight < pair->copies * f.lanes) {
+          roomy.push_back(id);
+          if (!busy(worker) && worker.slowness < kSlow) calm.push_back(id);
+        }
+      }
+      const bool waits =
+          settings.instances.on_miss == MissMode::kMiss && pair && !believed_warm(*pair) && loading(*pair);
+      if (pair && (pair->target > 0 || believed_warm(*pair)) && !waits &&
+          (!target || pair->in_flight < target_load)) {
+        target = id;
+        target_load = pair->in_flight;
+      }
+      if (!waits && (!hashed || affinity(f.id, id) > affinity(f.id, *hashed))) hashed = id;
+    }
+    if (!calm.empty()) return calm[random.below(calm.size())];
+    if (!roomy.empty()) return roomy[random.below(roomy.size())];
+    if (target) return target;
+    const bool coming = std::any_of(f.pairs.begin(), f.pairs.end(), [&](auto& p) {
+      return loading(p.second) && ready(workers[p.first]) && !workers[p.first].suspect;
+    });
+    if (settings.instances.on_miss == MissMode::kMiss && coming)
+      return std::nullopt;  // waits here, not there
+    return hashed;
+  }
+
+  // Sends the request, or keeps it for the sweep to try again, or ends it when nothing can serve it.
+  void place(Open& o) {
+    if (o.answered || o.streaming) return;
+    Function& f = functions[o.request.function];
+    if (may_attempt(o)) {
+      std::optional<WorkerId> to = choose(o, f, false);
+      if (!to && std::none_of(workers.begin(), workers.end(),
+                              [&](auto& w) { return ready(w.second) && !w.second.suspect; }))
+        to = choose(o, f, true);
+      if (to) return send(o, f, *to);
+    }
+    if (o.out == 0) {
+      if (!may_attempt(o) || o.request.deadline - now <= kHoldBack + settings.tick) return settle(o);
+      start_sweep();
+    }
+  }
+
+  // The only gate for sends.
+  void send(Open& o, Function& f, WorkerId id) {
+    Worker& worker = workers[id];
+    Pair& pair = f.pairs[id];
+    const double w = weight(o.request.request_class);
+    if (warmth(worker) < 1) worker.cold_sends.emplace_back(now, w);
+    sent_weight.add(now, w);
+    if (worker.in_flight++ == 0) worker.heard = now;
+    ++pair.in_flight;
+    ++o.out;
+    o.attempts.push_back({id, now, Fate::kOut, believed_warm(pair), false});
+    start_sweep();
+    sink.send(o.request.id, id, 0ns);
+  }
+
+  void release_held() {
+    std::vector<RequestId> held;
+    for (auto& [id, o] : open)
+      if (o.out == 0 && !o.answered && !o.streaming) held.push_back(id);
+    for (RequestId id : held)
+      if (auto it = open.find(id); it != open.end()) place(it->second), discard(it);
+  }
+
+  // ---- Attempts ---------------------------------------------------------------------------------
+
+  void returned(const AttemptResult& r) {
+    const auto it = open.find(r.request);
+    if (it == open.end() || r.attempt >= it->second.attempts.size()) return;
+    Open& o = it->second;
+    Attempt& a = o.attempts[r.attempt];
+    if (a.fate != Fate::kOut || a.worker != r.worker) return;
+    Function& f = functions[o.request.function];
+    Pair& pair = f.pairs[a.worker];
+    Worker& worker = workers[a.worker];
+    --worker.in_flight, --pair.in_flight, --o.out;
+    const bool load_failed = r.found == Found::kLoadFailed;
+    const bool proof = r.outcome == Outcome::kFull || r.outcome == Outcome::kConnectFailed ||
+                       r.outcome == Outcome::kMoot || r.outcome == Outcome::kMiss;
+    a.fate = proof ? Fate::kNeverRan : Fate::kMayHaveRun;
+    const bool spoke = r.outcome == Outcome::kOk || r.outcome == Outcome::kError ||
+                       r.outcome == Outcome::kFull || r.outcome == Outcome::kMiss;
+    if (spoke) {
+      hear(a.worker, r.report);
+      trust(a.worker, false);
+    }
+    switch (r.outcome) {
+      case Outcome::kOk:
+        served(f, pair, worker, a, r);
+        break;
+      case Outcome::kFull:
+        worker.full_until = now + jittered(kFullRest);
+        break;
+      case Outcome::kMiss:
+        if (a.warm) saw_cold(f, a.worker, a.sent);
+        pair.copies = 0;
+        if (!load_failed || pair.target > 0) order(f, a.worker, std::max(1, pair.target), true);
+        break;
+      case Outcome::kError:
+        if (load_failed) pair.copies = 0;
+        break;
+      case Outcome::kConnectFailed:
+        suspect(a.worker, "no connection");
+        break;
+      case Outcome::kReset:
+        suspect(a.worker, "connection broke");
+        forget_worker(a.worker);
+        break;
+      default:
+        break;
+    }
+    if (r.terminal) o.answered = true;
+    if (o.answered)
+      cancel_rest(o);
+    else if (r.outcome == Outcome::kTimeout && now + settings.tick >= o.request.deadline)
+      settle(o);
+    else
+      place(o);
+    discard(it);
+  }
+
+  void served(Function& f, Pair& pair, Worker& worker, const Attempt& a, const AttemptResult& r) {
+    const bool loaded = r.found == Found::kLoaded || (r.found == Found::kUntold && a.warm);
+    if (r.found == Found::kBeganLoad && a.warm) saw_cold(f, a.worker, a.sent);
+    saw_warm(f, pair);
+    if (!loaded) return;
+    const double took = seconds(r.took);
+    if (f.run_s > 0) {
+      const double ratio = std::clamp(took / f.run_s, 0.1, 10.0);
+      worker.slowness += kRecent * (ratio - worker.slowness);
+    }
+    blend(f.run_s, took);
+    blend(class_run_s[f.request_class], took);
+  }
+
+  // One look, every few ticks, at what no event would tell: silence, and requests held too long.
+  void sweep() {
+    sweeping = false;
+    std::map<WorkerId, Time> oldest;
+    bool held = false;
+    for (auto& [id, o] : open) {
+      held |= !o.answered && o.out == 0;
+      for (const Attempt& a : o.attempts)
+        if (a.fate == Fate::kOut && a.warm && !a.cancelled) {
+          auto [it, fresh] = oldest.try_emplace(a.worker, a.sent);
+          it->second = std::min(it->second, a.sent);
+        }
+    }
+    for (auto& [id, sent] : oldest) {
+      Worker& worker = workers[id];
+      double usual = 0.2;
+      for (double s : class_run_s) usual = std::max(usual, s);
+      if (now - std::max(worker.heard, sent) > kSilence + from_seconds(2 * usual)) suspect(id, "silent");
+    }
+    for (auto& [id, worker] : workers)
+      if (worker.suspect && ready(worker) && now - worker.asked > kAskSuspectEvery) ask(id, worker);
+    std::vector<RequestId> again;
+    for (auto& [id, o] : open)
+      if (!o.answered && !o.streaming && o.out > 0 &&
+          std::all_of(o.attempts.begin(), o.attempts.end(),
+                      [&](auto& a) { return a.fate != Fate::kOut || workers[a.worker].suspect; }))
+        again.push_back(id);
+    for (RequestId id : again)
+      if (auto it = open.find(id); it != open.end()) retry_elsewhere(it->second);
+    if (held) release_held();
+    const bool any_suspect = std::any_of(workers.begin(), workers.end(),
+                                         [&](auto& w) { return w.second.suspect && ready(w.second); });
+    if (!open.empty() || any_suspect) start_sweep();
+  }
+
+  void start_sweep() {
+    if (std::exchange(sweeping, true)) return;
+    sink.wake(kSweepEvery, kSweepToken);
+  }
+
+  // A sign of life that puts no load on the worker.
+  void ask(WorkerId id, Worker& worker) {
+    worker.asked = now;
+    if (settings.instances.orders && !functions.empty())
+      sink.hold(id, functions.begin()->first, 0);
+    else if (settings.bounds.probes)
+      sink.probe(id);
+    else
+      worker.suspect = false;  // no way to ask: the next request tries
+  }
+
+  void retry_elsewhere(Open& o) {
+    if (class_of(o.request).semantics == Semantics::kOnce) return;  // may have run: it waits
+    if (settings.bounds.may_duplicate) {
+      if (o.out < 2) place(o);
+    } else if (settings.bounds.may_cancel) {
+      for (std::size_t i = 0; i < o.attempts.size(); ++i)
+        if (o.attempts[i].fate == Fate::kOut && !std::exchange(o.attempts[i].cancelled, true))
+          sink.cancel(o.request.id, static_cast<AttemptNumber>(i));
+    }
+  }
+
+  void cancel_rest(Open& o) {
+    if (!settings.bounds.may_cancel || o.streaming) return;
+    for (std::size_t i = 0; i < o.attempts.size(); ++i)
+      if (o.attempts[i].fate == Fate::kOut && !std::exchange(o.attempts[i].cancelled, true))
+        sink.cancel(o.request.id, static_cast<AttemptNumber>(i));
+  }
+
+  void discard(std::map<RequestId, Open>::iterator it) {
+    if (it->second.answered && it->second.out == 0) open.erase(it);
+  }
+
+  // ---- Rules ------------------------------------------------------------------------------------
+
+  // Rule 2, where the next attempt may go at all.
+  bool may_attempt(const Open& o) const {
+    if (o.attempts.size() >= static_cast<std::size_t>(std::max(1, settings.bounds.attempts_cap)))
+      return false;
+    if (o.out > 0 && !settings.bounds.may_duplicate) return false;
+    if (now >= o.request.deadline) return false;
+    const bool clean = std::all_of(o.attempts.begin(), o.attempts.end(),
+                                   [](auto& a) { return a.fate == Fate::kNeverRan; });
+    return clean || class_of(o.request).semantics != Semantics::kOnce;
+  }
+
+  // Rules 2 and 4, for one worker.
+  bool may_send(const Open& o, WorkerId id, Worker& worker, bool desperate) {
+    const RequestClass& c = class_of(o.request);
+    if (c.semantics == Semantics::kKeyed)
+      for (const Attempt& a : o.attempts) {
+        if (a.fate == Fate::kNeverRan) continue;
+        const WorkerEntry& first = workers[a.worker].entry;
+        if (now + settings.tick >= a.sent + c.repeat_window) return false;
+        if (c.group == RepeatGroup::kZone && first.zone != worker.entry.zone) return false;
+        if (c.group == RepeatGroup::kCell && first.cell != worker.entry.cell) return false;
+        break;
+      }
+    (void)id;
+    return cold_budget(worker, weight(o.request.request_class), desperate);
+  }
+
+  // Rule 4. Each front end gives a cold worker no more than that worker's share of what it gives a warm
+  // one, so that the sum over front ends it cannot see stays in proportion too.
+  bool cold_budget(Worker& worker, double w, bool desperate) {
+    const double share = warmth(worker);
+    if (share >= 1) {
+      worker.cold_sends.clear();
+      return true;
+    }
+    const Duration window = settings.rules.overload_for;
+    auto& sent = worker.cold_sends;
+    while (!sent.empty() && now - sent.front().first > 4 * window) sent.pop_front();
+    double used = 0;
+    for (const auto& [at, amount] : sent)
+      if (now - at <= window) used += amount;
+    const auto n = std::count_if(workers.begin(), workers.end(), [&](auto& x) { return ready(x.second); });
+    const double usual = sent_weight.per_second(now) / static_cast<double>(std::max<long>(1, n));
+    const double part =
+        desperate ? std::max(kColdShare, kColdLimit * settings.rules.fall_multiple) : kColdShare;
+    const double rate = usual * share * part;
+    if (used + w <= rate * seconds(window)) return true;
+    const Time last = sent.empty() ? *worker.cold_since : sent.back().first;
+    return used == 0 && rate > 0 && seconds(now - last) >= w / rate;
+  }
+
+  bool may_refuse(const Open& o) const {
+    const RequestClass& c = class_of(o.request);
+    if (c.semantics == Semantics::kRepeatable ||
+        (c.semantics == Semantics::kKeyed && c.group == RepeatGroup::kAll))
+      return true;
+    return std::all_of(o.attempts.begin(), o.attempts.end(),
+                       [](auto& a) { return a.fate == Fate::kNeverRan; });
+  }
+
+  // Rule 1. The only place that gives a final answer: a refusal where that is true, a failure otherwise.
+  void settle(Open& o) {
+    if (std::exchange(o.answered, true)) return;
+    if (may_refuse(o))
+      sink.refuse(o.request.id, 0ns);
+    else
+      sink.fail(o.request.id);
+    cancel_rest(o);
+  }
+
+  void at_deadline(RequestId id) {
+    const auto it = open.find(id);
+    if (it == open.end()) return;
+    if (!it->second.streaming) settle(it->second);
+    discard(it);
+  }
+};
+
+Dispatcher::Dispatcher(Settings settings, std::uint64_t seed, Time start, ActionSink& sink)
+    : state_(std::make_unique<State>(std::move(settings), seed, start, sink)) {}
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::on(Time now, const ListUpdate& update) {
+  state_->tick(now);
+  state_->update_list(update);
+}
+
+void Dispatcher::on(Time now, const Request& request) {
+  State& s = *state_;
+  s.tick(now);
+  if (request.request_class >= s.settings.classes.size()) return;
+  auto [it, fresh] = s.open.try_emplace(request.id);
+  if (!fresh) return;
+  it->second.request = request;
+  it->second.arrived = s.now;
+  if (s.settings.instances.order_window > 0ns) s.arrivals.push_back(s.now);
+  s.learn_function(request);
+  s.sink.wake(std::max<Duration>(0ns, request.deadline - s.now),
+              kDeadlineTokens | static_cast<std::uint32_t>(request.id));
+  s.place(it->second);
+  s.discard(it);
+}
+
+void Dispatcher::on(Time now, const AttemptResult& result) {
+  state_->tick(now);
+  state_->returned(result);
+}
+
+void Dispatcher::on(Time now, const StreamStarted& started) {
+  state_->tick(now);
+  if (auto it = state_->open.find(started.request); it != state_->open.end()) it->second.streaming = true;
+}
+
+void Dispatcher::on(Time now, const RequestAbandoned& abandoned) {
+  state_->tick(now);
+  const auto it = state_->open.find(abandoned.request);
+  if (it == state_->open.end()) return;
+  it->second.answered = true;
+  state_->cancel_rest(it->second);
+  state_->discard(it);
+}
+
+void Dispatcher::on(Time now, const HoldResult& result) {
+  state_->tick(now);
+  state_->hold_answered(result);
+}
+
+void Dispatcher::on(Time now, const ProbeResult& result) {
+  state_->tick(now);
+  if (!state_->workers.contains(result.worker) || result.outcome != Outcome::kOk) return;
+  state_->hear(result.worker, result.report);
+  state_->trust(result.worker, true);
+}
+
+void Dispatcher::on(Time now, const PeerMessage&) {
+  state_->tick(now);
+}
+
+void Dispatcher::on(Time now, const TimerFired& timer) {
+  State& s = *state_;
+  s.tick(now);
+  if (timer.token == kReplanToken) {
+    s.replan();
+    s.sink.wake(s.jittered(kReplanEvery), kReplanToken);
+  } else if (timer.token == kSweepToken) {
+    s.sweep();
+  } else if (timer.token == kListToken) {
+    s.sink.subscribe(true);
+  } else if (timer.token >= kDeadlineTokens) {
+    s.at_deadline(static_cast<RequestId>(static_cast<std::uint32_t>(timer.token)));
+  }
+}
+
+}  // namespace laureltide
--- /dev/null
+++ b/tests/decide_test.cpp
@@ -0,0 +1,277 @@
+// Tests of the decisions, through the public interface and with a scripted clock.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "bench.h"
+
+namespace laureltide::test {
+namespace {
+
+constexpr auto kRepeatable = Bench::kRepeatable, kKeyed = Bench::kKeyed, kOnce = Bench::kOnce;
+
+std::vector<WorkerEntry> fleet(std::uint32_t n) {
+  std::vector<WorkerEntry> entries;
+  for (std::uint32_t i = 1; i <= n; ++i)
+    entries.push_back(Bench::worker(i, static_cast<std::uint16_t>(i % 2)));
+  return entries;
+}
+
+// Asks every `gap` for `length`; each send is served after `run`.
+void traffic(Bench& b, Duration length, Duration gap, Duration run = 100ms, ClassIndex c = kRepeatable,
+             std::uint64_t function = 1) {
+  std::vector<Action> out;
+  std::size_t seen = b.actions.size();
+  const Time until = b.now + length;
+  Time next = b.now;
+  while (b.now < until) {
+    if (b.now >= next) b.ask(c, function), next += gap;
+    for (; seen < b.actions.size(); ++seen) {
+      if (b.actions[seen].did == Did::kSend) out.push_back(b.actions[seen]);
+      if (b.actions[seen].did == Did::kHold) {
+        const Action order = b.actions[seen];
+        b.held(order, Outcome::kOk, order.count);
+      }
+    }
+    b.advance(4ms);
+    std::erase_if(out, [&](const Action& a) {
+      if (a.at + run > b.now) return false;
+      b.serve(a);
+      return true;
+    });
+  }
+}
+
+TEST(Path, SendsToOneWorkerAgreedByHash) {
+  std::set<std::uint32_t> chosen;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    Bench b(plain_settings(), seed);
+    b.list(fleet(8));
+    const RequestId id = b.ask();
+    ASSERT_EQ(b.sends_of(id).size(), 1U);
+    chosen.insert(static_cast<std::uint32_t>(b.sends_of(id)[0].worker));
+  }
+  EXPECT_EQ(chosen.size(), 1U);  // front ends that know nothing of each other try the same worker
+}
+
+TEST(Path, SticksToAWarmWorker) {
+  Bench b;
+  b.list(fleet(8));
+  const RequestId first = b.ask();
+  const Action sent = b.sends_of(first)[0];
+  b.advance(100ms);
+  b.serve(sent);
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(b.sends_of(b.ask())[0].worker, sent.worker);
+}
+
+TEST(Path, HotFunctionReachesMoreWorkersAndLoadsAhead) {
+  Bench b;
+  b.list(fleet(8));
+  traffic(b, 6s, 10ms);  // ten busy lanes
+  std::set<WorkerId> held;
+  for (const Action& a : b.all(Did::kHold)) held.insert(a.worker);
+  EXPECT_GE(held.size(), 3U);
+  std::set<WorkerId> used;
+  for (const Action& a : b.all(Did::kSend))
+    if (a.at > b.now - 1s) used.insert(a.worker);
+  EXPECT_GE(used.size(), 3U);
+}
+
+TEST(Path, AMissBringsAHoldAndTheRequestWaitsForIt) {
+  Settings s = plain_settings();
+  s.instances.on_miss = MissMode::kMiss;
+  Bench b(s);
+  b.list(fleet(4));
+  const RequestId id = b.ask(kOnce);
+  const Action first = b.sends_of(id)[0];
+  b.answer(first, Outcome::kMiss);
+  ASSERT_EQ(b.all(Did::kHold).size(), 1U);
+  EXPECT_EQ(b.all(Did::kHold)[0].worker, first.worker);
+  b.advance(200ms);
+  EXPECT_EQ(b.sends_of(id).size(), 1U);
+  b.held(b.all(Did::kHold)[0]);
+  ASSERT_EQ(b.sends_of(id).size(), 2U);
+  EXPECT_EQ(b.sends_of(id)[1].worker, first.worker);
+}
+
+TEST(Path, BeliefsAge) {
+  Settings s = plain_settings();
+  s.instances.orders = false;
+  Bench b(s);
+  b.list(fleet(8));
+  const Action sent = b.sends_of(b.ask())[0];
+  b.answer(sent, Outcome::kFull);  // pushes the next pick away from the hash's first choice
+  const Action moved = b.sends_of(sent.request)[1];
+  b.advance(100ms);
+  b.serve(moved);
+  b.advance(1s);
+  EXPECT_EQ(b.sends_of(b.ask())[0].worker, moved.worker);
+  b.serve(b.all(Did::kSend).back());
+  b.advance(40s);  // past the keep-alive and the plan's memory of demand
+  EXPECT_EQ(b.sends_of(b.ask())[0].worker, sent.worker);
+}
+
+TEST(Path, SameEventsGiveSameActions) {
+  auto play = [] {
+    Bench b;
+    b.list(fleet(6));
+    traffic(b, 5s, 15ms);
+    return b.actions;
+  };
+  EXPECT_EQ(play(), play());
+}
+
+TEST(RuleAnswers, EveryRequestEndsOnceByItsDeadline) {
+  Bench b;
+  b.list(fleet(2));
+  for (ClassIndex c : {kRepeatable, kKeyed, kOnce}) {
+    const RequestId id = b.ask(c, 1, 500ms);
+    b.advance(500ms + 16ms);
+    ASSERT_EQ(b.answers_of(id).size(), 1U) << int{c};
+    const std::size_t sends = b.sends_of(id).size();
+    b.advance(1s);
+    EXPECT_EQ(b.answers_of(id).size(), 1U);
+    EXPECT_EQ(b.sends_of(id).size(), sends);
+  }
+}
+
+TEST(RuleAnswers, WithoutWorkersARefusalComesInTime) {
+  Bench b;
+  const RequestId id = b.ask(kOnce, 1, 300ms);
+  b.advance(300ms);
+  ASSERT_EQ(b.answers_of(id).size(), 1U);
+  EXPECT_EQ(b.answers_of(id)[0].did, Did::kRefuse);
+}
+
+TEST(RuleEffects, OnceThatMayHaveRunWaitsAndFails) {
+  for (Outcome o : {Outcome::kError, Outcome::kReset, Outcome::kTimeout, Outcome::kCancelled}) {
+    Bench b;
+    b.list(fleet(4));
+    const RequestId id = b.ask(kOnce);
+    b.answer(b.sends_of(id)[0], o);
+    b.advance(4s);
+    EXPECT_EQ(b.sends_of(id).size(), 1U);
+    ASSERT_EQ(b.answers_of(id).size(), 1U);
+    EXPECT_EQ(b.answers_of(id)[0].did, Did::kFail);
+  }
+}
+
+TEST(RuleEffects, OnceThatNeverRanGoesOut) {
+  for (Outcome o : {Outcome::kFull, Outcome::kConnectFailed}) {
+    Bench b;
+    b.list(fleet(4));
+    const RequestId id = b.ask(kOnce);
+    b.answer(b.sends_of(id)[0], o);
+    EXPECT_EQ(b.sends_of(id).size(), 2U);
+  }
+}
+
+TEST(RuleEffects, KeyedStaysInItsCellAndWindow) {
+  Bench b;
+  b.list(fleet(8));
+  const RequestId id = b.ask(kKeyed);
+  const auto cell = [](const Action& a) { return static_cast<std::uint32_t>(a.worker) % 2; };
+  b.answer(b.sends_of(id)[0], Outcome::kReset);
+  ASSERT_EQ(b.sends_of(id).size(), 2U);
+  EXPECT_EQ(cell(b.sends_of(id)[1]), cell(b.sends_of(id)[0]));
+  b.advance(2100ms);  // past the window
+  b.answer(b.sends_of(id)[1], Outcome::kReset);
+  b.advance(1s);
+  EXPECT_EQ(b.sends_of(id).size(), 2U);
+  ASSERT_EQ(b.answers_of(id).size(), 1U);
+  EXPECT_EQ(b.answers_of(id)[0].did, Did::kFail);
+}
+
+TEST(RuleDrains, NothingGoesToADrainingOrGoneWorker) {
+  for (WorkerState state : {WorkerState::kDraining, WorkerState::kGone}) {
+    Bench b;
+    b.list(fleet(4));
+    traffic(b, 3s, 20ms);
+    WorkerEntry entry =
+        b.all(Did::kSend).back().worker == WorkerId{1} ? Bench::worker(1) : Bench::worker(0);
+    entry.id = b.all(Did::kSend).back().worker;
+    entry.state = state;
+    b.list({entry}, ListScope::kChanges);
+    const std::size_t before = b.actions.size();
+    traffic(b, 3s, 20ms);
+    for (std::size_t i = before; i < b.actions.size(); ++i) {
+      const Action& a = b.actions[i];
+      const bool work = a.did == Did::kSend || (a.did == Did::kHold && a.count > 0);
+      EXPECT_FALSE(work && a.worker == entry.id);
+    }
+  }
+}
+
+TEST(RuleCold, AColdWorkerGetsNoMoreThanItsShare) {
+  Bench b;
+  b.list(fleet(4));
+  traffic(b, 5s, 20ms);
+  WorkerEntry cold = Bench::worker(9);
+  cold.started = b.now;
+  b.list({cold}, ListScope::kChanges);
+  for (std::uint32_t id = 1; id <= 3; ++id) {  // the others leave: all would go to the cold one
+    WorkerEntry gone = Bench::worker(id);
+    gone.state = WorkerState::kGone;
+    b.list({gone}, ListScope::kChanges);
+  }
+  const std::size_t before = b.all(Did::kSend).size();
+  traffic(b, 1s, 20ms);
+  const auto sends = b.all(Did::kSend);
+  const auto n = std::count_if(sends.begin() + static_cast<long>(before), sends.end(),
+                               [](auto& a) { return a.worker == WorkerId{9}; });
+  EXPECT_LE(n, 50 / 4 * 2);  // of 50: twice a worker's usual quarter would be the fall multiple when warm
+}
+
+TEST(RuleLoads, OrdersStayWithinTheRation) {
+  Settings s = plain_settings();
+  s.instances.order_window = 5s;
+  s.instances.order_floor = 4;
+  s.instances.orders_per_request = 0.1;
+  Bench b(s);
+  b.list(fleet(8));
+  for (std::uint64_t f = 1; f <= 40; ++f) traffic(b, 200ms, 40ms, 20ms, kRepeatable, f);
+  std::map<RequestId, Time> arrivals;
+  for (const Action& a : b.all(Did::kSend)) arrivals.try_emplace(a.request, a.at);
+  for (const Action& order : b.all(Did::kHold)) {
+    if (order.count == 0) continue;
+    const auto holds = b.all(Did::kHold);
+    const auto orders = std::count_if(holds.begin(), holds.end(), [&](auto& a) {
+      return a.count > 0 && a.at <= order.at && order.at - a.at <= 5s;
+    });
+    const auto taken = std::count_if(arrivals.begin(), arrivals.end(), [&](auto& a) {
+      return a.second <= order.at && order.at - a.second < 5s;
+    });
+    EXPECT_LE(static_cast<double>(orders), 4 + 0.1 * static_cast<double>(taken));
+  }
+}
+
+TEST(Failure, ASilentWorkerIsLeftAndItsRepeatableRequestsMove) {
+  Bench b;
+  b.list(fleet(4));
+  traffic(b, 3s, 50ms);
+  const RequestId id = b.ask();
+  const WorkerId silent = b.sends_of(id)[0].worker;
+  b.advance(1500ms);
+  ASSERT_FALSE(b.all(Did::kCancel).empty());
+  b.answer(b.sends_of(id)[0], Outcome::kCancelled);
+  ASSERT_EQ(b.sends_of(id).size(), 2U);
+  EXPECT_NE(b.sends_of(id)[1].worker, silent);
+}
+
+TEST(Bounds, OddEventsAreIgnored) {
+  Bench b;
+  b.list({});
+  b.dispatcher.on(b.now, AttemptResult{});
+  b.dispatcher.on(b.now, RequestAbandoned{RequestId{77}});
+  b.dispatcher.on(b.now, HoldResult{WorkerId{5}, FunctionId{5}, Outcome::kOk, 1s, 3});
+  b.dispatcher.on(b.now, StreamStarted{RequestId{5}, WorkerId{4}, 0, 1s});
+  b.dispatcher.on(b.now, ProbeResult{WorkerId{5}, Outcome::kOk, 1s, {}});
+  Request r;
+  r.request_class = 99;
+  b.dispatcher.on(b.now, r);
+  EXPECT_TRUE(b.actions.empty());
+}
+
+}  // namespace
+}  // namespace laureltide::test
