Measure a cold worker's budget by work served, not sent

Cause: the budget of a cold worker was a share of the usual rate of sends, and refused or repeated sends counted. When the fleet turned work away, the budget grew to three times what a worker bears. May hurt: a front end that has just started gives cold workers little.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -145,6 +145,9 @@
   double slots = 0;
 };
 
+// How far routing goes for a request that finds no worker.
+enum class Effort { kUsual, kColdToTheLimit, kAnyone };
+
 enum class Fate { kOut, kNeverRan, kMayHaveRun };
 
 struct Attempt {
@@ -176,14 +179,14 @@
   std::uint64_t list_version = 0;
   bool have_list = false;
   std::vector<double> class_run_s;
-  Rate sent_weight;                   // own work sent, in seconds of run time
+  Rate served_weight;                 // own work served, in seconds of run time
   std::deque<Time> orders, arrivals;  // within the ration's window
   bool sweeping = false;
 
   State(Settings s, std::uint64_t seed, Time begin, ActionSink& out)
       : settings(std::move(s)), random(seed), now(begin), start(begin), sink(out) {
     class_run_s.assign(settings.classes.size(), -1);
-    sent_weight.since = sent_weight.at = begin;
+    served_weight.since = served_weight.at = begin;
     sink.wake(jittered(kFirstReplan), kReplanToken);
     if (settings.list_must_be_asked) sink.subscribe(true);
   }
@@ -279,12 +282,6 @@
   }
   bool loading(const Pair& p) const { return p.ordered > 0 && now - p.ordered_at < kOrderLost; }
 
-  void saw_warm(Function& f, Pair& p) {
-    (void)f;
-    p.copies = std::max(p.copies, 1);
-    p.seen = now;
-  }
-
   // A copy that was believed warm was not there. One eviction and a new release look alike from here: both
   // void what is believed of the function elsewhere, and asking again where copies stand costs no load.
   // Also guards against other front ends' releases. May hurt where workers evict often: more orders.
@@ -494,13 +491,14 @@
     return worker.report.busy_cores && *worker.report.busy_cores >= 0.97F;
   }
 
-  std::optional<WorkerId> choose(const Open& o, Function& f, bool desperate) {
+  std::optional<WorkerId> choose(const Open& o, Function& f, Effort effort) {
     std::vector<WorkerId> roomy, calm;
     std::optional<WorkerId> target, hashed;
     int target_load = 0;
     for (auto& [id, worker] : workers) {
-      if (!ready(worker) || (worker.suspect && !desperate) || !rested(o, id, worker, f)) continue;
-      if (!may_send(o, id, worker, desperate)) continue;
+      if (!ready(worker) || (worker.suspect && effort != Effort::kAnyone) || !rested(o, id, worker, f))
+        continue;
+      if (!may_send(o, worker, effort)) continue;
       const auto it = f.pairs.find(id);
       Pair* pair = it == f.pairs.end() ? nullptr : &it->second;
       if (pair && believed_warm(*pair)) {
@@ -534,10 +532,11 @@
     if (o.answered || o.streaming) return;
     Function& f = functions[o.request.function];
     if (may_attempt(o)) {
-      std::optional<WorkerId> to = choose(o, f, false);
+      std::optional<WorkerId> to = choose(o, f, Effort::kUsual);
+      if (!to) to = choose(o, f, Effort::kColdToTheLimit);
       if (!to && std::none_of(workers.begin(), workers.end(),
                               [&](auto& w) { return ready(w.second) && !w.second.suspect; }))
-        to = choose(o, f, true);
+        to = choose(o, f, Effort::kAnyone);
       if (to) return send(o, f, *to);
     }
     if (o.out == 0) {
@@ -552,7 +551,6 @@
     Pair& pair = f.pairs[id];
     const double w = weight(o.request.request_class);
     if (warmth(worker) < 1) worker.cold_sends.emplace_back(now, w);
-    sent_weight.add(now, w);
     if (worker.in_flight++ == 0) worker.heard = now;
     ++pair.in_flight;
     ++o.out;
@@ -627,9 +625,11 @@
   }
 
   void served(Function& f, Pair& pair, Worker& worker, const Attempt& a, const AttemptResult& r) {
+    served_weight.add(now, weight(f.request_class));
     const bool loaded = r.found == Found::kLoaded || (r.found == Found::kUntold && a.warm);
     if (r.found == Found::kBeganLoad && a.warm) saw_cold(f, a.worker, a.sent);
-    saw_warm(f, pair);
+    pair.copies = std::max(pair.copies, 1);
+    pair.seen = now;
     if (!loaded) return;
     const double took = seconds(r.took);
     if (f.run_s > 0) {
@@ -727,7 +727,7 @@
   }
 
   // Rules 2 and 4, for one worker.
-  bool may_send(const Open& o, WorkerId id, Worker& worker, bool desperate) {
+  bool may_send(const Open& o, Worker& worker, Effort effort) {
     const RequestClass& c = class_of(o.request);
     if (c.semantics == Semantics::kKeyed)
       for (const Attempt& a : o.attempts) {
@@ -738,13 +738,13 @@
         if (c.group == RepeatGroup::kCell && first.cell != worker.entry.cell) return false;
         break;
       }
-    (void)id;
-    return cold_budget(worker, weight(o.request.request_class), desperate);
+    return cold_budget(worker, weight(o.request.request_class), effort);
   }
 
-  // Rule 4. Each front end gives a cold worker no more than that worker's share of what it gives a warm
-  // one, so that the sum over front ends it cannot see stays in proportion too.
-  bool cold_budget(Worker& worker, double w, bool desperate) {
+  // Rule 4. What a warm worker bears is measured by what this front end has had served, per ready worker:
+  // sends would count retries and refusals too, and grow just when the fleet cannot bear more. Each front
+  // end gives a cold worker at most its share of that, so the sum over unseen front ends is in proportion.
+  bool cold_budget(Worker& worker, double w, Effort effort) {
     const double share = warmth(worker);
     if (share >= 1) {
       worker.cold_sends.clear();
@@ -757,9 +757,10 @@
     for (const auto& [at, amount] : sent)
       if (now - at <= window) used += amount;
     const auto n = std::count_if(workers.begin(), workers.end(), [&](auto& x) { return ready(x.second); });
-    const double usual = sent_weight.per_second(now) / static_cast<double>(std::max<long>(1, n));
-    const double part =
-        desperate ? std::max(kColdShare, kColdLimit * settings.rules.fall_multiple) : kColdShare;
+    const double usual = served_weight.per_second(now) / static_cast<double>(std::max<long>(1, n));
+    const double part = effort != Effort::kUsual
+                            ? std::max(kColdShare, kColdLimit * settings.rules.fall_multiple)
+                            : kColdShare;
     const double rate = usual * share * part;
     if (used + w <= rate * seconds(window)) return true;
     const Time last = sent.empty() ? *worker.cold_since : sent.back().first;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -223,6 +223,29 @@
   EXPECT_LE(n, 50 / 4 * 2);  // of 50: twice a worker's usual quarter would be the fall multiple when warm
 }
 
+// Retries and refusals are sends too: a fleet that turns work away must not raise a cold worker's budget.
+TEST(RuleCold, RefusedSendsDoNotRaiseTheBudget) {
+  const auto sent_to_cold = [](int full_per_request) {
+    Bench b;
+    b.list(fleet(4));
+    traffic(b, 4s, 40ms);
+    for (int i = 0; i < 50; ++i) {
+      const RequestId id = b.ask();
+      for (int k = 0; k < full_per_request; ++k) b.answer(b.sends_of(id).back(), Outcome::kFull);
+      b.advance(40ms);
+      b.serve(b.sends_of(id).back());
+      b.advance(160ms);
+    }
+    WorkerEntry cold = Bench::worker(9);
+    cold.started = b.now;
+    b.list({cold}, ListScope::kFull);  // all others are gone
+    for (int i = 0; i < 100; ++i) b.ask(), b.advance(10ms);
+    const auto sends = b.all(Did::kSend);
+    return std::count_if(sends.begin(), sends.end(), [](auto& a) { return a.worker == WorkerId{9}; });
+  };
+  EXPECT_LE(sent_to_cold(3), sent_to_cold(0) + 1);
+}
+
 TEST(RuleLoads, OrdersStayWithinTheRation) {
   Settings s = plain_settings();
   s.instances.order_window = 5s;
