Limit own calls in flight at a worker by how its answers come

Also guards against slow workers and other front ends' bursts. May hurt where calls are long by nature.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -44,9 +44,16 @@
 constexpr Duration kReportFresh = 600ms;   // reports older than this say little
 constexpr double kColdShare = 1.0;         // cold worker's share of the usual rate, while others have room
 constexpr double kColdLimit = 0.6;         // part of the fall multiple ever used: others are unseen
+constexpr double kLateAt = 0.8;            // share of the aim after which an answer tells of a queue
+constexpr double kCutLate = 0.95;          // a late answer's cut of the limit: some are late by nature
+constexpr double kCutFull = 0.85;          // a refusal's or time-out's cut: these tell of a full queue
+constexpr Duration kCutEvery = 100ms;      // one cut for answers that tell of the same queue
+constexpr double kWaitShare = 0.4;         // share of the aim for which a request waits here for room
 constexpr Duration kHoldBack = 40ms;       // a request that nothing can serve is answered this early
 constexpr int kMostInstances = 16;         // that one order may name
 
+constexpr double kNoLimit = 1e9;  // until a worker first shows a queue
+
 constexpr TimerToken kReplanToken = 1, kSweepToken = 2, kListToken = 3, kDeadlineTokens = 1ULL << 32;
 
 std::uint64_t mix(std::uint64_t x) {
@@ -141,6 +148,8 @@
   LoadReport report;
   Time reported{};
   Time full_until{};
+  double limit = kNoLimit;  // own calls in flight that it bears without a queue, learnt from answers
+  Time cut_at{};
   double flow = 0;  // during a plan
   double slots = 0;
 };
@@ -481,6 +490,7 @@
   bool rested(const Open& o, WorkerId id, const Worker& worker, const Function& f) const {
     const auto p = f.pairs.find(id);
     if (worker.full_until > now || (p != f.pairs.end() && p->second.full_until > now)) return false;
+    if (worker.in_flight >= worker.limit) return false;
     return std::none_of(o.attempts.begin(), o.attempts.end(),
                         [&](const Attempt& a) { return a.worker == id && a.fate != Fate::kNeverRan; });
   }
@@ -519,11 +529,15 @@
     if (!calm.empty()) return calm[random.below(calm.size())];
     if (!roomy.empty()) return roomy[random.below(roomy.size())];
     if (target) return target;
-    const bool coming = std::any_of(f.pairs.begin(), f.pairs.end(), [&](auto& p) {
-      return loading(p.second) && ready(workers[p.first]) && !workers[p.first].suspect;
+    // With a place that has it, or soon will, the request waits here for room: one more load would add to
+    // the jam that it flees from.
+    const bool placed = std::any_of(f.pairs.begin(), f.pairs.end(), [&](auto& p) {
+      const Worker& worker = workers[p.first];
+      const bool coming =
+          loading(p.second) || (p.second.in_flight > 0 && settings.instances.on_miss == MissMode::kLoad);
+      return ready(worker) && !worker.suspect && (coming || believed_warm(p.second));
     });
-    if (settings.instances.on_miss == MissMode::kMiss && coming)
-      return std::nullopt;  // waits here, not there
+    if (placed) return std::nullopt;
     return hashed;
   }
 
@@ -540,7 +554,10 @@
       if (to) return send(o, f, *to);
     }
     if (o.out == 0) {
-      if (!may_attempt(o) || o.request.deadline - now <= kHoldBack + settings.tick) return settle(o);
+      const Duration patience = from_seconds(kWaitShare * seconds(class_of(o.request).target));
+      const bool hopeless = now - o.arrived > patience && may_refuse(o);
+      if (!may_attempt(o) || hopeless || o.request.deadline - now <= kHoldBack + settings.tick)
+        return settle(o);
       start_sweep();
     }
   }
@@ -632,6 +649,10 @@
     pair.seen = now;
     if (!loaded) return;
     const double took = seconds(r.took);
+    if (took > kLateAt * seconds(settings.classes[f.request_class].target))
+      cut(worker, kCutLate);
+    else if (worker.in_flight + 2 > worker.limit * kLateAt)
+      worker.limit += 1 / worker.limit;
     if (f.run_s > 0) {
       const double ratio = std::clamp(took / f.run_s, 0.1, 10.0);
       worker.slowness += kRecent * (ratio - worker.slowness);
@@ -640,6 +661,15 @@
     blend(class_run_s[f.request_class], took);
   }
 
+  // Late answers, refusals and time-outs all tell of a queue at the worker, whatever made it: too much
+  // traffic, a slow core, loads, or other front ends. Fewer own calls there then keep answers in time, and
+  // the rest waits here, where it can still be refused. May hurt where calls are long by nature.
+  void cut(Worker& worker, double by) {
+    if (now - worker.cut_at < kCutEvery) return;
+    worker.cut_at = now;
+    worker.limit = std::max(1.0, std::min(worker.limit, worker.in_flight + 1.0) * by);
+  }
+
   // One look, every few ticks, at what no event would tell: silence, and requests held too long.
   void sweep() {
     sweeping = false;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -282,6 +282,22 @@
   EXPECT_NE(b.sends_of(id)[1].worker, silent);
 }
 
+// A jam at the worker must not grow by what is sent into it: the rest waits here and is refused in time.
+TEST(Failure, LateAnswersLimitOwnCallsInFlight) {
+  Bench b;
+  b.list(fleet(1));
+  traffic(b, 3s, 100ms);
+  traffic(b, 6s, 20ms, 950ms);  // late, though within the aim
+  const std::size_t before = b.all(Did::kSend).size();
+  traffic(b, 1s, 20ms, 950ms);
+  EXPECT_LT(b.all(Did::kSend).size() - before, 40U);
+  EXPECT_FALSE(b.all(Did::kRefuse).empty());
+  traffic(b, 8s, 50ms, 50ms);
+  const std::size_t refused = b.all(Did::kRefuse).size();
+  traffic(b, 2s, 50ms, 50ms);
+  EXPECT_EQ(b.all(Did::kRefuse).size(), refused);  // and it recovers
+}
+
 TEST(Bounds, OddEventsAreIgnored) {
   Bench b;
   b.list({});
