--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -25,8 +25,8 @@
   std::size_t seen = b.actions.size();
   const Time until = b.now + length;
   Time next = b.now;
-  while (b.now < until) {
-    if (b.now >= next) b.ask(c, function), next += gap;
+  while (b.now < until || !out.empty()) {
+    if (b.now >= next && b.now < until) b.ask(c, function), next += gap;
     for (; seen < b.actions.size(); ++seen) {
       if (b.actions[seen].did == Did::kSend) out.push_back(b.actions[seen]);
       if (b.actions[seen].did == Did::kHold) {
