Ask a suspect about a copy that should stand, to tell a restart from a broken connection

Also guards against pauses and lost answers; may hurt where a restarted worker has been loaded again by another front end before the question.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -315,7 +315,7 @@
     Worker& worker = workers[id];
     if (worker.suspect) return;
     worker.suspect = true;
-    worker.asked = now;
+    worker.asked = now - kAskSuspectEvery;
     sink.log("worker " + std::to_string(static_cast<std::uint32_t>(id)) + " suspect: " + why);
     start_sweep();
   }
@@ -478,7 +478,7 @@
     }
     if (result.outcome == Outcome::kTimeout) return;
     hear(result.worker, {});
-    trust(result.worker, true);
+    trust(result.worker, !(believed_warm(pair) && result.instances > 0));
     pair.copies = std::max(0, result.instances);
     if (pair.copies > 0) pair.seen = now, pair.placed = true;
     if (result.outcome == Outcome::kFull) pair.full_until = now + jittered(kNoMemoryRest);
@@ -626,7 +626,6 @@
         break;
       case Outcome::kReset:
         suspect(a.worker, "connection broke");
-        forget_worker(a.worker);
         break;
       default:
         break;
@@ -710,11 +709,17 @@
     sink.wake(kSweepEvery, kSweepToken);
   }
 
-  // A sign of life that puts no load on the worker.
+  // A sign of life that puts no load on the worker. Asked for a copy that should stand, it also tells a
+  // restart, which emptied it, from a broken connection, a pause or a lost answer, which did not.
   void ask(WorkerId id, Worker& worker) {
     worker.asked = now;
-    if (settings.instances.orders && !functions.empty())
-      sink.hold(id, functions.begin()->first, 0);
+    std::optional<FunctionId> about;
+    for (auto& [fid, f] : functions) {
+      const auto p = f.pairs.find(id);
+      if (!about || (p != f.pairs.end() && believed_warm(p->second) && !p->second.ordered)) about = fid;
+    }
+    if (settings.instances.orders && about)
+      sink.hold(id, *about, 0);
     else if (settings.bounds.probes)
       sink.probe(id);
     else
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -298,6 +298,29 @@
   EXPECT_EQ(b.all(Did::kRefuse).size(), refused);  // and it recovers
 }
 
+// A broken connection is no restart: asked for a copy that should stand, the worker says that it does.
+TEST(Failure, ABrokenConnectionVoidsNothingWhileTheCopyStands) {
+  for (const int standing : {1, 0}) {
+    Bench b;
+    b.list(fleet(8));
+    traffic(b, 3s, 50ms);
+    const RequestId id = b.ask();
+    const Action sent = b.sends_of(id)[0];
+    b.answer(sent, Outcome::kReset);
+    b.advance(100ms);
+    const Action asked = b.all(Did::kHold).back();
+    ASSERT_EQ(asked.count, 0);
+    ASSERT_EQ(asked.worker, sent.worker);
+    b.held(asked, Outcome::kOk, standing);
+    const std::size_t before = b.all(Did::kSend).size();
+    for (int i = 0; i < 24; ++i) b.ask();
+    const auto sends = b.all(Did::kSend);
+    const auto back = std::count_if(sends.begin() + static_cast<long>(before), sends.end(),
+                                    [&](auto& a) { return a.worker == sent.worker; });
+    EXPECT_EQ(back > 0, standing > 0);
+  }
+}
+
 TEST(Bounds, OddEventsAreIgnored) {
   Bench b;
   b.list({});
