--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -35,7 +35,6 @@
 constexpr int kLoadsPerWorker = 2;         // own loads out at one worker; its line is shared
 constexpr Duration kOrderLost = 4s;        // an order unanswered for so long no longer holds others back
 constexpr Duration kFullRest = 150ms;      // a full worker sheds its excess in about a service time
-constexpr Duration kMissStands = 1s;       // a 'miss' stands so long; others may load in the meantime
 constexpr Duration kNoMemoryRest = 2s;     // memory frees slower: when other copies idle out
 constexpr Duration kSweepEvery = 20ms;     // looks at held requests and silent workers
 constexpr Duration kSilence = 500ms;       // added to twice the usual answer time before a worker is silent
@@ -124,7 +123,6 @@
   int target = 0;         // copies wanted by the plan
   int unpaired = 0;       // replans since the plan last wanted one
   bool placed = false;    // an own order brought a copy
-  Time missed_until{};    // it said that none stands or loads
   Time full_until{};      // no lane, or no memory for another copy
 };
 
@@ -294,14 +292,13 @@
   bool loading(const Pair& p) const { return p.ordered > 0 && now - p.ordered_at < kOrderLost; }
 
   // A copy that was believed warm was not there. One eviction and a new release look alike from here: both
-  // void what was last seen of the function before the call left, and the plan's targets are ordered again
-  // at once: where copies stand after all, that costs no load. Also guards against other front ends'
-  // releases. May hurt where workers evict often: more orders.
+  // void what is believed of the function elsewhere, and asking again where copies stand costs no load.
+  // Also guards against other front ends' releases. May hurt where workers evict often: more orders.
   void saw_cold(Function& f, WorkerId at, Time sent) {
-    for (auto& [id, p] : f.pairs)
-      if (id == at || p.seen <= sent) p.copies = 0;
-    for (auto& [id, p] : f.pairs)
-      if (p.target > 0 && p.copies == 0) order(f, id, p.target, true);
+    for (auto& [id, p] : f.pairs) {
+      if (id == at) p.copies = 0;
+      if (p.seen <= sent && !p.in_flight) p.copies = 0;
+    }
   }
 
   void hear(WorkerId id, const LoadReport& report) {
@@ -447,30 +444,6 @@
     return true;
   }
 
-  // Requests wait and no order of theirs is out: misses must not use up their attempts, so one is ordered.
-  void order_for_waiting(Function& f) {
-    std::optional<WorkerId> best;
-    const auto rank = [&](WorkerId id) { return std::pair(f.pairs[id].target > 0, affinity(f.id, id)); };
-    for (auto& [id, worker] : workers) {
-      if (!ready(worker) || worker.suspect || f.pairs[id].full_until > now) continue;
-      if (loading(f.pairs[id]) || believed_warm(f.pairs[id])) return;
-      if (!best || rank(id) > rank(*best)) best = id;
-    }
-    if (best) order(f, *best, std::max(1, f.pairs[*best].target), true);
-  }
-
-  // A load is done: the worker's place in its line goes to the missing target with most demand.
-  void order_next(WorkerId id) {
-    Function* next = nullptr;
-    for (auto& [fid, f] : functions) {
-      const auto p = f.pairs.find(id);
-      if (p == f.pairs.end() || p->second.target <= 0 || loading(p->second)) continue;
-      if (believed_warm(p->second) || p->second.full_until > now) continue;
-      if (!next || f.calls.per_second(now) > next->calls.per_second(now)) next = &f;
-    }
-    if (next) order(*next, id, next->pairs[id].target, true);
-  }
-
   int loads_out(WorkerId id) const {
     int n = 0;
     for (const auto& [fid, f] : functions)
@@ -509,7 +482,6 @@
     pair.copies = std::max(0, result.instances);
     if (pair.copies > 0) pair.seen = now, pair.placed = true;
     if (result.outcome == Outcome::kFull) pair.full_until = now + jittered(kNoMemoryRest);
-    order_next(result.worker);
     release_held();
   }
 
@@ -545,8 +517,8 @@
           if (!busy(worker) && worker.slowness < kSlow) calm.push_back(id);
         }
       }
-      const bool waits = settings.instances.on_miss == MissMode::kMiss && pair && !believed_warm(*pair) &&
-                         (loading(*pair) || pair->missed_until > now);
+      const bool waits =
+          settings.instances.on_miss == MissMode::kMiss && pair && !believed_warm(*pair) && loading(*pair);
       if (pair && (pair->target > 0 || believed_warm(*pair)) && !waits &&
           (!target || pair->in_flight < target_load)) {
         target = id;
@@ -582,7 +554,6 @@
       if (to) return send(o, f, *to);
     }
     if (o.out == 0) {
-      if (settings.instances.on_miss == MissMode::kMiss) order_for_waiting(f);
       const Duration patience = from_seconds(kWaitShare * seconds(class_of(o.request).target));
       const bool hopeless = now - o.arrived > patience && may_refuse(o);
       if (!may_attempt(o) || hopeless || o.request.deadline - now <= kHoldBack + settings.tick)
@@ -645,7 +616,6 @@
       case Outcome::kMiss:
         if (a.warm) saw_cold(f, a.worker, a.sent);
         pair.copies = 0;
-        pair.missed_until = now + kMissStands;
         if (!load_failed || pair.target > 0) order(f, a.worker, std::max(1, pair.target), true);
         break;
       case Outcome::kError:
