--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -44,8 +44,9 @@
 constexpr Duration kReportFresh = 600ms;   // reports older than this say little
 constexpr double kColdShare = 1.0;         // cold worker's share of the usual rate, while others have room
 constexpr double kColdLimit = 0.6;         // part of the fall multiple ever used: others are unseen
-constexpr double kLateAt = 0.8;            // share of the aim after which an answer tells of a queue
-constexpr double kCutLate = 0.95;          // a late answer's cut of the limit: some are late by nature
+constexpr double kLateAt = 0.5;            // share of the aim after which an answer tells of a queue
+constexpr double kNearLimit = 0.8;         // share of the limit in use from which answers in time raise it
+constexpr double kCutLate = 0.9;           // a late answer's cut of the limit: some are late by nature
 constexpr double kCutFull = 0.85;          // a refusal's or time-out's cut: these tell of a full queue
 constexpr Duration kCutEvery = 100ms;      // one cut for answers that tell of the same queue
 constexpr double kWaitShare = 0.4;         // share of the aim for which a request waits here for room
@@ -650,7 +651,7 @@
     const double took = seconds(r.took);
     if (took > kLateAt * seconds(settings.classes[f.request_class].target))
       cut(worker, kCutLate);
-    else if (worker.in_flight + 2 > worker.limit * kLateAt)
+    else if (worker.in_flight + 2 > worker.limit * kNearLimit)
       worker.limit += 1 / worker.limit;
     if (f.run_s > 0) {
       const double ratio = std::clamp(took / f.run_s, 0.1, 10.0);
