Ask a quiet worker before it is a suspect

Also guards against pauses and lost answers. May hurt where questions themselves queue behind calls.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -38,12 +38,12 @@
 constexpr Duration kFullRest = 150ms;      // a full worker sheds its excess in about a service time
 constexpr Duration kNoMemoryRest = 2s;     // memory frees slower: when other copies idle out
 constexpr Duration kSweepEvery = 20ms;     // looks at held requests and silent workers
-constexpr Duration kSilence = 500ms;       // added to twice the usual answer time before a worker is silent
+constexpr Duration kSilence = 500ms;       // beyond the usual answer time, before a worker is asked
+constexpr Duration kAskWait = 400ms;       // a pausing worker answers in this time, a dead one does not
 constexpr Duration kAskSuspectEvery = 1s;  // how often a silent worker is asked for a sign of life
 constexpr double kRecent = 0.15;           // weight of a new sample in running means
 constexpr double kSlow = 2.5;              // answer time over the fleet's, from which a worker is slow
 constexpr Duration kReportFresh = 600ms;   // reports older than this say little
-constexpr double kColdShare = 1.0;         // cold worker's share of the usual rate, while others have room
 constexpr double kColdLimit = 0.6;         // part of the fall multiple ever used: others are unseen
 constexpr double kLateAt = 0.5;            // share of the aim after which an answer tells of a queue
 constexpr double kNearLimit = 0.8;         // share of the limit in use from which answers in time raise it
@@ -154,8 +154,7 @@
   double slots = 0;
 };
 
-// How far routing goes for a request that finds no worker.
-enum class Effort { kUsual, kColdToTheLimit, kAnyone };
+enum class Effort { kUsual, kColdToTheLimit, kAnyone };  // how far routing goes to find a worker
 
 struct Share {
   double left = 0;
@@ -235,9 +234,8 @@
       auto [it, fresh] = workers.try_emplace(entry.id);
       Worker& worker = it->second;
       const bool restarted = !fresh && entry.started && entry.started != worker.entry.started;
-      if (restarted) forget_worker(entry.id);
+      if (restarted) forget_worker(entry.id), worker.suspect = false;
       if (restarted || (fresh && entry.started)) worker.cold_since = std::min(*entry.started, now);
-      if (restarted) worker.suspect = false;
       if (fresh) worker.heard = now;
       worker.entry = entry;
       worker.known = true;
@@ -366,7 +364,8 @@
     Worker& worker = workers[id];
     if (worker.suspect) return;
     worker.suspect = true;
-    worker.asked = now - kAskSuspectEvery;
+    const bool can_ask = settings.instances.orders || settings.bounds.probes;
+    worker.asked = can_ask ? now - kAskSuspectEvery : now;
     sink.log("worker " + std::to_string(static_cast<std::uint32_t>(id)) + " suspect: " + why);
     start_sweep();
   }
@@ -374,9 +373,7 @@
   // It answers again. What died in between came back empty and cold, whether or not the list says so yet.
   void trust(WorkerId id, bool restarted) {
     Worker& worker = workers[id];
-    if (!worker.suspect) return;
-    worker.suspect = false;
-    if (!restarted) return;
+    if (!std::exchange(worker.suspect, false) || !restarted) return;
     forget_worker(id);
     worker.cold_since = std::max(now, worker.cold_since.value_or(now));
   }
@@ -778,14 +775,20 @@
           it->second = std::min(it->second, a.sent);
         }
     }
-    for (auto& [id, sent] : oldest) {
-      Worker& worker = workers[id];
-      double usual = 0.2;
-      for (double s : class_run_s) usual = std::max(usual, s);
-      if (now - std::max(worker.heard, sent) > kSilence + from_seconds(2 * usual)) suspect(id, "silent");
+    double usual = 0.2;
+    for (double run : class_run_s) usual = std::max(usual, run);
+    bool any_suspect = false;
+    for (auto& [id, worker] : workers) {  // a long call or a jam is no silence: it is asked first
+      const auto sent = oldest.find(id);
+      any_suspect |= worker.suspect && ready(worker);
+      if (!ready(worker) || (!worker.suspect && sent == oldest.end())) continue;
+      const Time quiet = worker.suspect ? now : std::max(worker.heard, sent->second);
+      const bool silent = now - quiet > kSilence + from_seconds(usual);
+      if (worker.suspect ? now - worker.asked > kAskSuspectEvery : silent && worker.asked < quiet)
+        ask(id, worker);
+      else if (silent && now - worker.asked > kAskWait)
+        suspect(id, "silent");
     }
-    for (auto& [id, worker] : workers)
-      if (worker.suspect && ready(worker) && now - worker.asked > kAskSuspectEvery) ask(id, worker);
     std::vector<RequestId> again;
     for (auto& [id, o] : open)
       if (!o.answered && !o.streaming && o.out > 0 &&
@@ -795,14 +798,11 @@
     for (RequestId id : again)
       if (auto it = open.find(id); it != open.end()) retry_elsewhere(it->second);
     if (held) release_held();
-    const bool any_suspect = std::any_of(workers.begin(), workers.end(),
-                                         [&](auto& w) { return w.second.suspect && ready(w.second); });
     if (!open.empty() || any_suspect) start_sweep();
   }
 
   void start_sweep() {
-    if (std::exchange(sweeping, true)) return;
-    sink.wake(kSweepEvery, kSweepToken);
+    if (!std::exchange(sweeping, true)) sink.wake(kSweepEvery, kSweepToken);
   }
 
   // A sign of life that puts no load on the worker. Asked for a copy that should stand, it also tells a
@@ -887,9 +887,8 @@
       if (now - at <= window) used += amount;
     const auto n = std::count_if(workers.begin(), workers.end(), [&](auto& x) { return ready(x.second); });
     const double usual = served_weight.per_second(now) / static_cast<double>(std::max<long>(1, n));
-    const double part = effort != Effort::kUsual
-                            ? std::max(kColdShare, kColdLimit * settings.rules.fall_multiple)
-                            : kColdShare;
+    const double part =
+        effort == Effort::kUsual ? 1.0 : std::max(1.0, kColdLimit * settings.rules.fall_multiple);
     const double rate = usual * share * part;
     if (used + w <= rate * seconds(window)) return true;
     const Time last = sent.empty() ? *worker.cold_since : sent.back().first;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -268,6 +268,24 @@
   }
 }
 
+// A long call is no silence: a worker that answers when asked keeps its calls, and its trust.
+TEST(Failure, AQuietWorkerIsAskedBeforeItIsLeft) {
+  Bench b;
+  b.list(fleet(4));
+  traffic(b, 3s, 50ms);
+  const RequestId id = b.ask();
+  const WorkerId quiet = b.sends_of(id)[0].worker;
+  const std::size_t before = b.all(Did::kHold).size();
+  std::size_t seen = before;
+  for (int i = 0; i < 300; ++i, b.advance(8ms))
+    for (; seen < b.all(Did::kHold).size(); ++seen) b.held(b.all(Did::kHold)[seen]);
+  const auto holds = b.all(Did::kHold);
+  EXPECT_TRUE(std::any_of(holds.begin() + static_cast<long>(before), holds.end(),
+                          [&](auto& a) { return a.count == 0 && a.worker == quiet; }));
+  EXPECT_TRUE(b.all(Did::kCancel).empty());
+  EXPECT_TRUE(b.lines.empty());
+}
+
 TEST(Failure, ASilentWorkerIsLeftAndItsRepeatableRequestsMove) {
   Bench b;
   b.list(fleet(4));
