--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -581,8 +581,7 @@
           loading(p.second) || (p.second.in_flight > 0 && settings.instances.on_miss == MissMode::kLoad);
       return ready(worker) && !worker.suspect && (coming || believed_warm(p.second));
     });
-    const bool last = static_cast<int>(o.attempts.size()) + 1 >= settings.bounds.attempts_cap;
-    if (placed || (last && settings.instances.on_miss == MissMode::kMiss)) return std::nullopt;
+    if (placed) return std::nullopt;
     return hashed;
   }
 
