--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -409,7 +409,7 @@
         share += warmth(worker) / slowness(worker);
       }
     for (auto& [id, worker] : fleet) {
-      worker->flow = kFlowHeadroom * total * warmth(*worker) / slowness(*worker) / share;
+      worker->flow = kFlowHeadroom * total * warmth(*worker) / slowness(*worker) / std::max(share, 1e-9);
       const auto& sizes = settings.instances.memory_mb_by_kind;
       const double size = worker->entry.kind < sizes.size() ? sizes[worker->entry.kind] : 0;
       worker->slots = memory > 0 && size > 0
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the decisions, through the public interface and with a scripted clock.
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <map>
 #include <set>
 
@@ -380,5 +381,33 @@
   EXPECT_TRUE(b.actions.empty());
 }
 
+TEST(Bounds, OddValuesDoNoHarm) {
+  Settings settings = plain_settings();
+  settings.rules.cold_from = 0;
+  Bench b(settings);
+  WorkerEntry cold = Bench::worker(1);
+  cold.started = b.now;
+  b.list({cold});
+  constexpr float kNan = std::numeric_limits<float>::quiet_NaN();
+  std::uint32_t id = 1000;
+  for (const float odd : {kNan, -1.0F, 0.0F, std::numeric_limits<float>::infinity()}) {
+    Request r;
+    r.id = RequestId{++id};
+    r.function = FunctionId{id};
+    r.deadline = b.now + 200ms;
+    r.lanes = odd;
+    r.memory_mb = odd;
+    b.dispatcher.on(b.now, r);
+    AttemptResult result;
+    result.request = r.id;
+    result.worker = WorkerId{1};
+    result.outcome = Outcome::kFull;
+    result.report.waiting = result.report.busy_cores = odd;
+    b.dispatcher.on(b.now, result);
+    b.advance(5s);
+    EXPECT_EQ(b.answers_of(r.id).size(), 1U);
+  }
+}
+
 }  // namespace
 }  // namespace laureltide::test
