--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -249,8 +249,8 @@
 TEST(RuleLoads, OrdersStayWithinTheRation) {
   Settings s = plain_settings();
   s.instances.order_window = 5s;
-  s.instances.order_floor = 4;
-  s.instances.orders_per_request = 0.1;
+  s.instances.order_floor = 1;
+  s.instances.orders_per_request = 0.02;
   Bench b(s);
   b.list(fleet(8));
   for (std::uint64_t f = 1; f <= 40; ++f) traffic(b, 200ms, 40ms, 20ms, kRepeatable, f);
@@ -265,7 +265,7 @@
     const auto taken = std::count_if(arrivals.begin(), arrivals.end(), [&](auto& a) {
       return a.second <= order.at && order.at - a.second < 5s;
     });
-    EXPECT_LE(static_cast<double>(orders), 4 + 0.1 * static_cast<double>(taken));
+    EXPECT_LE(static_cast<double>(orders), 1 + 0.02 * static_cast<double>(taken));
   }
 }
 
