--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -210,7 +210,7 @@
   WorkerEntry cold = Bench::worker(9);
   cold.started = b.now;
   b.list({cold}, ListScope::kChanges);
-  for (std::uint32_t id = 1; id <= 3; ++id) {  // the others leave: all would go to the cold one
+  for (std::uint32_t id = 1; id <= 4; ++id) {  // the others leave: all would go to the cold one
     WorkerEntry gone = Bench::worker(id);
     gone.state = WorkerState::kGone;
     b.list({gone}, ListScope::kChanges);
@@ -220,7 +220,7 @@
   const auto sends = b.all(Did::kSend);
   const auto n = std::count_if(sends.begin() + static_cast<long>(before), sends.end(),
                                [](auto& a) { return a.worker == WorkerId{9}; });
-  EXPECT_LE(n, 50 / 4 * 2);  // of 50: twice a worker's usual quarter would be the fall multiple when warm
+  EXPECT_LE(n, 50 / 4 * 2);  // of 50 asked: its warmth of a quarter, times the fall multiple
 }
 
 // Retries and refusals are sends too: a fleet that turns work away must not raise a cold worker's budget.
