Plan for the whole: demand scaled to all front ends, longer memory where calls are few, orders shared by chance

Cause: a controller with a few calls a second planned several copies of each function it had seen once, and a hundred of them renewed each other's holds. May hurt where front ends see very different traffic and cannot tell each other.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -29,6 +29,11 @@
 constexpr double kJitter = 0.2;            // share; keeps front ends from acting in step
 constexpr double kFlowHeadroom = 1.5;      // worker flow over mean busy lanes (design page)
 constexpr Duration kDemandMemory = 5s;     // decay of demand: some replans long, shorter than a spell
+constexpr Duration kLongestMemory = 20s;   // of a front end with few calls: about as long as a spell
+constexpr double kCallsToJudge = 60;       // calls remembered before the memory may be shorter
+constexpr double kKeepsItself = 4;         // calls of all front ends in a keep-alive that keep a copy loaded
+constexpr double kOrdersShared = 2;        // orders for one target and interval by all front ends together
+constexpr std::size_t kPeersTold = 4;      // a replan; enough to estimate a mean, linear in their number
 constexpr int kReplansToDrop = 4;          // "several" unpaired replans before an own copy is dropped
 constexpr double kCallsToHold = 0.5;       // calls in a keep-alive below which idling out is cheaper
 constexpr double kRenewAt = 0.6;           // share of the keep-alive after which a hold is renewed
@@ -96,8 +101,9 @@
 struct Rate {
   double mass = 0;
   Time at{}, since{};
+  double memory = seconds(kDemandMemory);
   void settle(Time now) {
-    mass *= std::exp(-seconds(now - at) / seconds(kDemandMemory));
+    mass *= std::exp(-seconds(now - at) / memory);
     at = now;
   }
   void add(Time now, double amount) {
@@ -106,8 +112,7 @@
   }
   double per_second(Time now) {
     settle(now);
-    const double span =
-        seconds(kDemandMemory) * (1 - std::exp(-seconds(now - since) / seconds(kDemandMemory)));
+    const double span = memory * (1 - std::exp(-seconds(now - since) / memory));
     return mass / std::max(span, 0.5);
   }
 };
@@ -123,6 +128,8 @@
   bool current = false;  // it was a target of the plan before
   int unpaired = 0;      // replans since the plan last wanted one
   bool placed = false;   // an own order brought a copy
+  bool shared = false;   // calls of all front ends keep it loaded
+  Time denied{};         // when it was last found not to stand
   Time full_until{};     // no lane, or no memory for another copy
 };
 
@@ -143,7 +150,8 @@
   bool suspect = false;  // silent, or its connections fail
   Time asked{};
   std::optional<Time> cold_since;
-  std::deque<std::pair<Time, double>> cold_sends;  // weight of own sends while cold
+  double credit = 0;  // run time that may be sent while cold
+  Time credit_at{};
   double slowness = 1;                             // answer time over what the function usually takes
   LoadReport report;
   Time reported{};
@@ -200,6 +208,9 @@
   Rate requests;
   std::map<std::uint32_t, std::pair<Time, double>> peers;  // requests a second, as told
   std::optional<Time> pressed;                             // when a request last found no room
+  double memory = seconds(kDemandMemory);
+  double crowd = 1;        // calls of all front ends for each own one
+  double ready_count = 1;  // workers
 
   State(Settings s, std::uint64_t seed, Time begin, ActionSink& out)
       : settings(std::move(s)), random(seed), now(begin), start(begin), sink(out) {
@@ -235,7 +246,7 @@
       Worker& worker = it->second;
       const bool restarted = !fresh && entry.started && entry.started != worker.entry.started;
       if (restarted) forget_worker(entry.id), worker.suspect = false;
-      if (restarted || (fresh && entry.started)) worker.cold_since = std::min(*entry.started, now);
+      if (restarted || (fresh && entry.started)) chill(worker, std::min(*entry.started, now));
       if (fresh) worker.heard = now;
       worker.entry = entry;
       worker.known = true;
@@ -244,6 +255,8 @@
       if (!worker.known) worker.entry.state = WorkerState::kGone;
       if (worker.entry.state == WorkerState::kGone) forget_worker(id);
     }
+    ready_count = static_cast<double>(std::max<long>(
+        1, std::count_if(workers.begin(), workers.end(), [&](auto& w) { return ready(w.second); })));
   }
 
   bool ready(const Worker& worker) const { return worker.known && worker.entry.state == WorkerState::kReady; }
@@ -285,6 +298,7 @@
     f.request_class = r.request_class;
     f.lanes = std::max(1.0, std::floor(sane(r.lanes, 1)));
     f.memory_mb = sane(r.memory_mb, 0);
+    f.calls.memory = memory;
     f.calls.add(now, 1);
     return f;
   }
@@ -297,12 +311,8 @@
     if (!r.tenant || *r.tenant >= shares.size() || settings.over_share_worth >= 1) return false;
     const Tenant& tenant = settings.tenants[*r.tenant];
     const double own = requests.per_second(now);
-    double others = 0;
-    bool heard = settings.replicas <= 1;
-    for (const auto& [peer, told] : peers)
-      if (now - told.first < kPeerStands) others += told.second, heard = true;
-    const double part = others > 0 ? own / (own + others) : 1.0 / std::max(1U, settings.replicas);
-    const double rate = std::max(tenant.quota_per_s * part, heard ? 0 : kUnheardPart * tenant.share * own);
+    const bool heard = settings.replicas <= 1 || !peers.empty();
+    const double rate = std::max(tenant.quota_per_s / crowd, heard ? 0 : kUnheardPart * tenant.share * own);
     Share& s = shares[*r.tenant];
     s.left = std::min(std::max(1.0, rate * kShareBurst), s.left + rate * seconds(now - s.at));
     s.at = now;
@@ -316,7 +326,24 @@
     const auto rate = static_cast<std::uint32_t>(std::min(1e9, requests.per_second(now) * 1000));
     std::array<std::byte, 4> bytes{};
     for (std::size_t i = 0; i < bytes.size(); ++i) bytes[i] = static_cast<std::byte>(rate >> (24 - 8 * i));
-    sink.tell(std::nullopt, bytes);
+    if (settings.replicas <= kPeersTold + 1) return sink.tell(std::nullopt, bytes);
+    for (std::size_t i = 0; i < kPeersTold; ++i)
+      if (const auto peer = static_cast<std::uint32_t>(random.below(settings.replicas)); peer != settings.me)
+        sink.tell(peer, bytes);
+  }
+
+  // All front ends' calls for each own one: from the mean of what peers told, else all are as busy as this.
+  void weigh_crowd() {
+    const double own = requests.per_second(now);
+    memory = std::clamp(kCallsToJudge / std::max(own, 1e-9), seconds(kDemandMemory), seconds(kLongestMemory));
+    requests.memory = served_weight.memory = memory;
+    double others = 0;
+    std::erase_if(peers, [&](auto& told) { return now - told.second.first >= kPeerStands; });
+    for (const auto& [peer, told] : peers) others += told.second;
+    const double count = std::max(1U, settings.replicas);
+    crowd = peers.empty() || own <= 0
+                ? count
+                : 1 + others / static_cast<double>(peers.size()) * (count - 1) / own;
   }
 
   void peer_told(const PeerMessage& message) {
@@ -338,7 +365,7 @@
   // ---- Beliefs ----------------------------------------------------------------------------------
 
   bool believed_warm(const Pair& p) const {
-    return p.copies > 0 && (p.in_flight > 0 || now - p.seen < settings.instances.keep_alive);
+    return p.copies > 0 && (p.shared || p.in_flight > 0 || now - p.seen < settings.instances.keep_alive);
   }
   bool loading(const Pair& p) const { return p.ordered > 0 && now - p.ordered_at < kOrderLost; }
 
@@ -346,8 +373,8 @@
   // believed elsewhere. Also guards against others' releases; may hurt where workers evict often.
   void saw_cold(Function& f, WorkerId at, Time sent) {
     for (auto& [id, p] : f.pairs) {
-      if (id == at) p.copies = 0;
-      if (p.seen <= sent && !p.in_flight) p.copies = 0;
+      if (id == at) p.denied = now;
+      if (id == at || (p.seen <= sent && !p.in_flight)) p.copies = 0;
     }
   }
 
@@ -375,7 +402,7 @@
     Worker& worker = workers[id];
     if (!std::exchange(worker.suspect, false) || !restarted) return;
     forget_worker(id);
-    worker.cold_since = std::max(now, worker.cold_since.value_or(now));
+    chill(worker, std::max(now, worker.cold_since.value_or(now)));
   }
 
   // ---- Greedy plan ------------------------------------------------------------------------------
@@ -387,20 +414,32 @@
     worker.flow -= matched;
     f.flow -= matched;
     worker.slots -= copies;
-    f.pairs[id].target = static_cast<int>(copies);
+    Pair& pair = f.pairs[id];
+    pair.target = static_cast<int>(copies);
+    // What all front ends plan alike and call often enough stands, though this one has not called it there.
+    pair.shared = crowd > kKeepsItself && warmth(worker) >= 1 && now - pair.denied > settings.instances.keep_alive &&
+                  matched / run_seconds(f) * seconds(settings.instances.keep_alive) > kKeepsItself;
+    if (pair.shared) pair.copies = std::max(pair.copies, 1);
   }
 
   void replan() {
-    double total = 0, memory = 0, share = 0;
+    weigh_crowd();
+    double total = 0, sizes_sum = 0, share = 0;
     std::vector<Function*> wanted;
     for (auto& [id, f] : functions) {
-      for (auto& [wid, pair] : f.pairs) pair.current = std::exchange(pair.target, 0) > 0;
-      const double rate = f.calls.per_second(now);
-      f.flow = rate * run_seconds(f);
+      for (auto& [wid, pair] : f.pairs) {
+        pair.current = std::exchange(pair.target, 0) > 0;
+        if (std::exchange(pair.shared, false)) pair.seen = now;
+      }
+      f.calls.memory = memory;
+      const double rate = f.calls.per_second(now) * crowd;
+      // A few calls prove little: what they surely tell is about their square root less.
+      const double seen = f.calls.mass;
+      f.flow = rate * run_seconds(f) * std::max(1e-3, 1 - 1 / std::sqrt(std::max(seen, 1e-9)));
       if (f.flow <= 0 || rate * seconds(settings.instances.keep_alive) < kCallsToHold) continue;
       wanted.push_back(&f);
       total += f.flow;
-      memory += f.memory_mb;
+      sizes_sum += f.memory_mb;
     }
     std::vector<std::pair<WorkerId, Worker*>> fleet;
     for (auto& [id, worker] : workers)
@@ -412,8 +451,8 @@
       worker->flow = kFlowHeadroom * total * warmth(*worker) / slowness(*worker) / std::max(share, 1e-9);
       const auto& sizes = settings.instances.memory_mb_by_kind;
       const double size = worker->entry.kind < sizes.size() ? sizes[worker->entry.kind] : 0;
-      worker->slots = memory > 0 && size > 0
-                          ? std::max(1.0, size / (memory / static_cast<double>(wanted.size())))
+      worker->slots = sizes_sum > 0 && size > 0
+                          ? std::max(1.0, size / (sizes_sum / static_cast<double>(wanted.size())))
                           : static_cast<double>(wanted.size());
     }
     std::stable_sort(wanted.begin(), wanted.end(), [](auto* a, auto* b) { return a->flow > b->flow; });
@@ -458,7 +497,9 @@
         if (pair.target <= 0 || !workers[id].known) continue;
         const bool stands = believed_warm(pair) && pair.copies >= pair.target;
         const bool ageing = now - pair.seen > from_seconds(kRenewAt * seconds(settings.instances.keep_alive));
-        if (!stands || (ageing && pair.in_flight == 0)) order(*f, id, pair.target, false);
+        const bool wanted_now = !stands || (ageing && pair.in_flight == 0 && !pair.shared);
+        const double planners = std::min(crowd, std::max(1.0, f->calls.mass * crowd));
+        if (wanted_now && random.unit() < kOrdersShared / planners) order(*f, id, pair.target, false);
       }
     for (auto& [fid, f] : functions)
       for (auto& [id, pair] : f.pairs) {
@@ -636,7 +677,7 @@
   void send(Open& o, Function& f, WorkerId id) {
     Worker& worker = workers[id];
     Pair& pair = f.pairs[id];
-    if (warmth(worker) < 1) worker.cold_sends.emplace_back(now, weight(o.request.request_class));
+    if (warmth(worker) < 1) worker.credit -= weight(o.request.request_class);
     if (worker.in_flight++ == 0) worker.heard = now;
     ++pair.in_flight;
     ++o.out;
@@ -870,29 +911,26 @@
     return cold_budget(worker, weight(o.request.request_class), effort);
   }
 
+  // A worker that starts. Credit begins at a random part of a call, so that the first calls of many front
+  // ends with few each are spread as evenly as those of one with many.
+  void chill(Worker& worker, Time since) {
+    worker.cold_since = since;
+    worker.credit = random.unit() * weight(0);
+    worker.credit_at = now;
+  }
+
   // Rule 4. What a warm worker bears is measured by what this front end has had served, per ready worker:
   // sends would count retries and refusals too, and grow just when the fleet cannot bear more. Each front
   // end gives a cold worker at most its share of that, so the sum over unseen front ends is in proportion.
   bool cold_budget(Worker& worker, double w, Effort effort) {
     const double share = warmth(worker);
-    if (share >= 1) {
-      worker.cold_sends.clear();
-      return true;
-    }
-    const Duration window = settings.rules.overload_for;
-    auto& sent = worker.cold_sends;
-    while (!sent.empty() && now - sent.front().first > 4 * window) sent.pop_front();
-    double used = 0;
-    for (const auto& [at, amount] : sent)
-      if (now - at <= window) used += amount;
-    const auto n = std::count_if(workers.begin(), workers.end(), [&](auto& x) { return ready(x.second); });
-    const double usual = served_weight.per_second(now) / static_cast<double>(std::max<long>(1, n));
-    const double part =
-        effort == Effort::kUsual ? 1.0 : std::max(1.0, kColdLimit * settings.rules.fall_multiple);
-    const double rate = usual * share * part;
-    if (used + w <= rate * seconds(window)) return true;
-    const Time last = sent.empty() ? *worker.cold_since : sent.back().first;
-    return used == 0 && rate > 0 && seconds(now - last) >= w / rate;
+    if (share >= 1) return true;
+    const double limit = std::max(1.0, kColdLimit * settings.rules.fall_multiple);
+    const double rate = served_weight.per_second(now) / ready_count * share * limit;
+    const double most = std::max(w * 1.001, rate * seconds(settings.rules.overload_for));
+    worker.credit = std::min(most, worker.credit + rate * seconds(now - worker.credit_at));
+    worker.credit_at = now;
+    return worker.credit >= (effort == Effort::kUsual ? std::max(w, most * (1 - 1 / limit)) : w);
   }
 
   bool may_refuse(const Open& o) const {
