Two homes by hash, strain in the plan, and demand in work

Cause: the two heaviest functions were half of all work and stood on a few workers: calls were counted, not work, and ties by hash left workers five times apart.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -33,6 +33,8 @@
 constexpr double kCallsToJudge = 60;       // calls remembered before the memory may be shorter
 constexpr double kKeepsItself = 4;         // calls of all front ends in a keep-alive that keep a copy loaded
 constexpr double kOrdersShared = 2;        // orders for one target and interval by all front ends together
+constexpr int kHomes = 2;                  // workers of which one with most flow left takes a function
+constexpr double kDoubt = 10;              // calls that a new life counts as not yet seen
 constexpr std::size_t kPeersTold = 4;      // a replan; enough to estimate a mean, linear in their number
 constexpr int kReplansToDrop = 4;          // "several" unpaired replans before an own copy is dropped
 constexpr double kCallsToHold = 0.5;       // calls in a keep-alive below which idling out is cheaper
@@ -46,7 +48,13 @@
 constexpr Duration kSilence = 500ms;       // beyond the usual answer time, before a worker is asked
 constexpr Duration kAskWait = 400ms;       // a pausing worker answers in this time, a dead one does not
 constexpr Duration kAskSuspectEvery = 1s;  // how often a silent worker is asked for a sign of life
-constexpr double kRecent = 0.15;           // weight of a new sample in running means
+constexpr double kRecent = 0.15;           // weight of a new sample in a worker's slowness
+constexpr double kRunRecent = 0.05;        // least weight of a new sample in mean run times
+constexpr double kUsualCounts = 3;         // samples for which the class's mean counts in a function's
+constexpr double kStrainUp = 1.5;          // for a late answer, a refusal or a time-out
+constexpr double kStrainDown = 0.85;       // for an answer in time: three in ten bad ones keep the balance
+constexpr double kMostStrain = 8;          // a strained worker keeps some part
+constexpr Duration kStrainMemory = 10s;    // some replans: what moved away comes back slowly
 constexpr double kSlow = 2.5;              // answer time over the fleet's, from which a worker is slow
 constexpr Duration kReportFresh = 600ms;   // reports older than this say little
 constexpr double kColdLimit = 0.6;         // part of the fall multiple ever used: others are unseen
@@ -90,7 +98,16 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
 }
 double sane(double value, double otherwise) { return std::isfinite(value) && value >= 0 ? value : otherwise; }
-void blend(double& mean, double sample) { mean = mean < 0 ? sample : mean + kRecent * (sample - mean); }
+
+// A mean that starts from what is usual elsewhere and is moved by few samples only in part.
+struct Mean {
+  double value = -1, samples = 0;
+  void add(double sample, double usual) {
+    if (value < 0) value = usual > 0 ? usual : sample, samples = usual > 0 ? kUsualCounts : 0;
+    samples = std::min(samples + 1, 1 / kRunRecent);
+    value += (sample - value) / samples;
+  }
+};
 
 // The order in which front ends that know nothing of each other agree to try workers for a function.
 std::uint64_t affinity(FunctionId function, WorkerId worker) {
@@ -136,7 +153,8 @@
 struct Function {
   FunctionId id{};
   ClassIndex request_class = 0;
-  double lanes = 1, memory_mb = 0, run_s = -1;
+  double lanes = 1, memory_mb = 0;
+  Mean run_s, work_s;  // as answers took, and as hints say
   Rate calls;
   double flow = 0;  // left to match, in busy lanes, during a plan
   std::map<WorkerId, Pair> pairs;
@@ -152,6 +170,7 @@
   std::optional<Time> cold_since;
   double credit = 0;  // run time that may be sent while cold
   Time credit_at{};
+  double strain = 1;                               // divides its part of the plan
   double slowness = 1;                             // answer time over what the function usually takes
   LoadReport report;
   Time reported{};
@@ -200,7 +219,7 @@
   std::map<RequestId, Open> open;
   std::uint64_t list_version = 0;
   bool have_list = false;
-  std::vector<double> class_run_s;
+  std::vector<Mean> class_run_s, class_work_s;
   Rate served_weight;                 // own work served, in seconds of run time
   std::deque<Time> orders, arrivals;  // within the ration's window
   bool sweeping = false;
@@ -214,7 +233,7 @@
 
   State(Settings s, std::uint64_t seed, Time begin, ActionSink& out)
       : settings(std::move(s)), random(seed), now(begin), start(begin), sink(out) {
-    class_run_s.assign(settings.classes.size(), -1);
+    class_run_s.resize(settings.classes.size()), class_work_s.resize(settings.classes.size());
     requests.since = requests.at = served_weight.since = served_weight.at = begin;
     for (const Tenant& t : settings.tenants) shares.push_back({t.quota_per_s * kShareBurst, begin});
     sink.wake(jittered(kFirstReplan), kReplanToken);
@@ -277,16 +296,19 @@
     return age >= 1 ? 1 : settings.rules.cold_from + (1 - settings.rules.cold_from) * std::max(age, 0.0);
   }
 
-  double slowness(const Worker& worker) const { return std::max(1.0, worker.slowness); }
+  double slowness(const Worker& worker) const { return std::max(1.0, worker.slowness) * worker.strain; }
 
   // ---- Demand -----------------------------------------------------------------------------------
 
   double run_seconds(const Function& f) const {
-    if (f.run_s > 0) return f.run_s;
-    if (class_run_s[f.request_class] > 0) return class_run_s[f.request_class];
+    if (f.run_s.value > 0) return f.run_s.value;
+    if (class_run_s[f.request_class].value > 0) return class_run_s[f.request_class].value;
     return std::max(0.01, seconds(settings.classes[f.request_class].target) / 4);
   }
 
+  // What a call costs its worker: as hints say, which no queue lengthens, else as answers took.
+  double work_seconds(const Function& f) const { return f.work_s.value > 0 ? f.work_s.value : run_seconds(f); }
+
   Function& learn_function(const Request& r) {
     auto [it, fresh] = functions.try_emplace(r.function);
     Function& f = it->second;
@@ -300,6 +322,11 @@
     f.memory_mb = sane(r.memory_mb, 0);
     f.calls.memory = memory;
     f.calls.add(now, 1);
+    if (r.work_hint) {
+      Mean& usual = class_work_s[r.request_class];
+      usual.add(seconds(*r.work_hint), -1);
+      f.work_s.add(seconds(*r.work_hint), usual.value);
+    }
     return f;
   }
 
@@ -360,7 +387,7 @@
   }
 
   // Mean work of a send, by class, as the cold rule weighs it.
-  double weight(ClassIndex c) const { return class_run_s[c] > 0 ? class_run_s[c] : 0.2; }
+  double weight(ClassIndex c) const { return class_run_s[c].value > 0 ? class_run_s[c].value : 0.2; }
 
   // ---- Beliefs ----------------------------------------------------------------------------------
 
@@ -418,13 +445,13 @@
     pair.target = static_cast<int>(copies);
     // What all front ends plan alike and call often enough stands, though this one has not called it there.
     pair.shared = crowd > kKeepsItself && warmth(worker) >= 1 && now - pair.denied > settings.instances.keep_alive &&
-                  matched / run_seconds(f) * seconds(settings.instances.keep_alive) > kKeepsItself;
+                  matched / work_seconds(f) * seconds(settings.instances.keep_alive) > kKeepsItself;
     if (pair.shared) pair.copies = std::max(pair.copies, 1);
   }
 
   void replan() {
     weigh_crowd();
-    double total = 0, sizes_sum = 0, share = 0;
+    double total = 0, calls = 0, sizes_sum = 0, share = 0;
     std::vector<Function*> wanted;
     for (auto& [id, f] : functions) {
       for (auto& [wid, pair] : f.pairs) {
@@ -433,17 +460,18 @@
       }
       f.calls.memory = memory;
       const double rate = f.calls.per_second(now) * crowd;
-      // A few calls prove little: what they surely tell is about their square root less.
-      const double seen = f.calls.mass;
-      f.flow = rate * run_seconds(f) * std::max(1e-3, 1 - 1 / std::sqrt(std::max(seen, 1e-9)));
+      f.flow = rate * work_seconds(f);
+      total += f.flow;
+      calls += f.calls.mass;
       if (f.flow <= 0 || rate * seconds(settings.instances.keep_alive) < kCallsToHold) continue;
       wanted.push_back(&f);
-      total += f.flow;
       sizes_sum += f.memory_mb;
     }
+    total *= 1 + kDoubt / std::max(calls, 1e-9);
     std::vector<std::pair<WorkerId, Worker*>> fleet;
     for (auto& [id, worker] : workers)
       if (ready(worker) && !worker.suspect) {
+        worker.strain = 1 + (worker.strain - 1) * std::exp(-seconds(kReplanEvery) / seconds(kStrainMemory));
         fleet.emplace_back(id, &worker);
         share += warmth(worker) / slowness(worker);
       }
@@ -468,19 +496,22 @@
           std::max_element(wanted.begin(), wanted.end(), [](auto* a, auto* b) { return a->flow < b->flow; });
       if (f == wanted.end() || (*f)->flow <= 1e-9) break;
       // The paper maximises min(worker flow, function flow): all workers that can take the whole function
-      // tie. Ties go to a warm copy, then by hash, so that front ends share copies without talking.
-      const std::pair<WorkerId, Worker*>* best = nullptr;
-      auto rank = [&](const std::pair<WorkerId, Worker*>& w) {
-        const auto p = (*f)->pairs.find(w.first);
-        const bool warm = p != (*f)->pairs.end() && believed_warm(p->second);
-        return std::tuple(std::min(w.second->flow, (*f)->flow), warm, affinity((*f)->id, w.first));
-      };
+      // tie. Of the first few of these by hash the one with most flow left takes it, so that front ends
+      // share copies without talking and hot functions still part.
+      std::vector<const std::pair<WorkerId, Worker*>*> fit;
       for (const auto& w : fleet) {
         if (w.second->slots < 1 || w.second->flow <= 1e-9) continue;
         const auto p = (*f)->pairs.find(w.first);
         if (p != (*f)->pairs.end() && (p->second.target > 0 || p->second.full_until > now)) continue;
-        if (!best || rank(w) > rank(*best)) best = &w;
+        fit.push_back(&w);
       }
+      auto takes = [&](auto* w) { return std::min(w->second->flow, (*f)->flow); };
+      auto rank = [&](auto* w) { return std::tuple(takes(w), affinity((*f)->id, w->first)); };
+      const auto few = fit.begin() + std::min<std::ptrdiff_t>(std::ssize(fit), kHomes);
+      std::partial_sort(fit.begin(), few, fit.end(), [&](auto* a, auto* b) { return rank(a) > rank(b); });
+      const std::pair<WorkerId, Worker*>* best = nullptr;
+      for (auto w = fit.begin(); w != few; ++w)
+        if (!best || (takes(*w) >= (*f)->flow && (*w)->second->flow > best->second->flow)) best = *w;
       if (best)
         match(**f, best->first, *best->second);
       else
@@ -599,7 +630,7 @@
       if (pair && believed_warm(*pair)) {
         if (pair->in_flight < pair->copies * f.lanes) {
           roomy.push_back(id);
-          if (!busy(worker) && worker.slowness < kSlow) calm.push_back(id);
+          if (!busy(worker) && slowness(worker) < kSlow) calm.push_back(id);
         }
       }
       const bool waits =
@@ -719,7 +750,11 @@
     }
     switch (r.outcome) {
       case Outcome::kOk: served(f, pair, worker, a, r); break;
-      case Outcome::kFull: worker.full_until = now + jittered(kFullRest); break;
+      case Outcome::kFull:
+        worker.full_until = now + jittered(kFullRest);
+        strained(worker, true);
+        break;
+      case Outcome::kTimeout: strained(worker, true); break;
       case Outcome::kMiss:
         if (a.warm) saw_cold(f, a.worker, a.sent);
         pair.copies = 0;
@@ -750,16 +785,21 @@
     pair.seen = now;
     if (!loaded) return;
     const double took = seconds(r.took);
+    strained(worker, took > kLateAt * seconds(settings.classes[f.request_class].target));
     if (took > kLateAt * seconds(settings.classes[f.request_class].target))
       cut(worker, kCutLate);
     else if (worker.in_flight + 2 > worker.limit * kNearLimit)
       worker.limit += 1 / worker.limit;
-    if (f.run_s > 0) {
-      const double ratio = std::clamp(took / f.run_s, 0.1, 10.0);
+    if (f.run_s.value > 0) {
+      const double ratio = std::clamp(took / f.run_s.value, 0.1, 10.0);
       worker.slowness += kRecent * (ratio - worker.slowness);
     }
-    blend(f.run_s, took);
-    blend(class_run_s[f.request_class], took);
+    class_run_s[f.request_class].add(took, -1);
+    f.run_s.add(took, class_run_s[f.request_class].value);
+  }
+
+  void strained(Worker& worker, bool bad) {
+    worker.strain = std::clamp(worker.strain * (bad ? kStrainUp : kStrainDown), 1.0, kMostStrain);
   }
 
   // Late answers, refusals and time-outs all tell of a queue at the worker, whatever made it: too much
@@ -817,7 +857,7 @@
         }
     }
     double usual = 0.2;
-    for (double run : class_run_s) usual = std::max(usual, run);
+    for (const Mean& run : class_run_s) usual = std::max(usual, run.value);
     bool any_suspect = false;
     for (auto& [id, worker] : workers) {  // a long call or a jam is no silence: it is asked first
       const auto sent = oldest.find(id);
