--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -43,6 +43,7 @@
 constexpr int kLoadsPerWorker = 2;         // own loads out at one worker; its line is shared
 constexpr Duration kOrderLost = 4s;        // an order unanswered for so long no longer holds others back
 constexpr Duration kFullRest = 150ms;      // a full worker sheds its excess in about a service time
+constexpr Duration kLongestRest = 4s;      // however many front ends share the worker
 constexpr Duration kNoMemoryRest = 2s;     // memory frees slower: when other copies idle out
 constexpr Duration kSweepEvery = 20ms;     // looks at held requests and silent workers
 constexpr Duration kSilence = 500ms;       // beyond the usual answer time, before a worker is asked
@@ -751,9 +752,6 @@
     switch (r.outcome) {
       case Outcome::kOk: served(f, pair, worker, a, r); break;
       case Outcome::kFull:
-        worker.full_until = now + jittered(kFullRest);
-        strained(worker, true);
-        break;
       case Outcome::kTimeout: strained(worker, true); break;
       case Outcome::kMiss:
         if (a.warm) saw_cold(f, a.worker, a.sent);
@@ -800,6 +798,9 @@
 
   void strained(Worker& worker, bool bad) {
     worker.strain = std::clamp(worker.strain * (bad ? kStrainUp : kStrainDown), 1.0, kMostStrain);
+    // Of the room that frees there this front end's part is the smaller, the more of them wait for it.
+    const double rest = std::min(seconds(kFullRest) * crowd, seconds(kLongestRest));
+    if (bad) worker.full_until = now + jittered(from_seconds(rest));
   }
 
   // Late answers, refusals and time-outs all tell of a queue at the worker, whatever made it: too much
