--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -34,6 +34,7 @@
 constexpr double kKeepsItself = 4;         // calls of all front ends in a keep-alive that keep a copy loaded
 constexpr double kOrdersShared = 2;        // orders for one target and interval by all front ends together
 constexpr int kHomes = 2;                  // workers of which one with most flow left takes a function
+constexpr double kHomesPerNeed = 1;        // further ones for each worker that it fills
 constexpr double kDoubt = 10;              // calls that a new life counts as not yet seen
 constexpr std::size_t kPeersTold = 4;      // a replan; enough to estimate a mean, linear in their number
 constexpr int kReplansToDrop = 4;          // "several" unpaired replans before an own copy is dropped
@@ -52,8 +53,8 @@
 constexpr double kRecent = 0.15;           // weight of a new sample in a worker's slowness
 constexpr double kRunRecent = 0.05;        // least weight of a new sample in mean run times
 constexpr double kUsualCounts = 3;         // samples for which the class's mean counts in a function's
-constexpr double kStrainUp = 1.5;          // for a late answer, a refusal or a time-out
-constexpr double kStrainDown = 0.85;       // for an answer in time: three in ten bad ones keep the balance
+constexpr double kStrainStep = 2;          // growth for the first bad answer of a worker seldom heard of
+constexpr double kStrainBack = 0.4;        // power of it for a good one: three in ten bad ones keep the balance
 constexpr double kMostStrain = 8;          // a strained worker keeps some part
 constexpr Duration kStrainMemory = 10s;    // some replans: what moved away comes back slowly
 constexpr double kSlow = 2.5;              // answer time over the fleet's, from which a worker is slow
@@ -158,6 +159,7 @@
   Mean run_s, work_s;  // as answers took, and as hints say
   Rate calls;
   double flow = 0;  // left to match, in busy lanes, during a plan
+  std::ptrdiff_t homes = 1;
   std::map<WorkerId, Pair> pairs;
 };
 
@@ -484,11 +486,14 @@
                           ? std::max(1.0, size / (sizes_sum / static_cast<double>(wanted.size())))
                           : static_cast<double>(wanted.size());
     }
+    const double mean_flow = kFlowHeadroom * total / std::max<double>(1, static_cast<double>(fleet.size()));
+    for (Function* f : wanted)
+      f->homes = kHomes + static_cast<std::ptrdiff_t>(kHomesPerNeed * f->flow / std::max(mean_flow, 1e-9));
     std::stable_sort(wanted.begin(), wanted.end(), [](auto* a, auto* b) { return a->flow > b->flow; });
     for (Function* f : wanted)  // current pairs that still get flow are kept first
       for (auto& [id, pair] : f->pairs) {
         const auto at = std::find_if(fleet.begin(), fleet.end(), [&](auto& w) { return w.first == id; });
-        if (pair.current && at != fleet.end() && f->flow > 0 && at->second->flow > 0 &&
+        if (pair.current && at != fleet.end() && at->second->strain < kSlow && f->flow > 0 && at->second->flow > 0 &&
             at->second->slots >= 1)
           match(*f, id, *at->second);
       }
@@ -498,7 +503,8 @@
       if (f == wanted.end() || (*f)->flow <= 1e-9) break;
       // The paper maximises min(worker flow, function flow): all workers that can take the whole function
       // tie. Of the first few of these by hash the one with most flow left takes it, so that front ends
-      // share copies without talking and hot functions still part.
+      // share copies without talking. A hot function has more of them than it needs: front ends differ in
+      // what they take for its flow, and would all call the first.
       std::vector<const std::pair<WorkerId, Worker*>*> fit;
       for (const auto& w : fleet) {
         if (w.second->slots < 1 || w.second->flow <= 1e-9) continue;
@@ -508,11 +514,14 @@
       }
       auto takes = [&](auto* w) { return std::min(w->second->flow, (*f)->flow); };
       auto rank = [&](auto* w) { return std::tuple(takes(w), affinity((*f)->id, w->first)); };
-      const auto few = fit.begin() + std::min<std::ptrdiff_t>(std::ssize(fit), kHomes);
+      auto left = [&](auto* w) {
+        return std::tuple(w->second->flow, affinity((*f)->id, w->first));
+      };
+      const auto few = fit.begin() + std::min<std::ptrdiff_t>(std::ssize(fit), (*f)->homes);
       std::partial_sort(fit.begin(), few, fit.end(), [&](auto* a, auto* b) { return rank(a) > rank(b); });
       const std::pair<WorkerId, Worker*>* best = nullptr;
       for (auto w = fit.begin(); w != few; ++w)
-        if (!best || (takes(*w) >= (*f)->flow && (*w)->second->flow > best->second->flow)) best = *w;
+        if (!best || (takes(*w) >= takes(best) && left(*w) > left(best))) best = *w;
       if (best)
         match(**f, best->first, *best->second);
       else
@@ -752,7 +761,10 @@
     switch (r.outcome) {
       case Outcome::kOk: served(f, pair, worker, a, r); break;
       case Outcome::kFull:
-      case Outcome::kTimeout: strained(worker, true); break;
+      case Outcome::kTimeout:
+        strained(worker, true);
+        rest(worker);
+        break;
       case Outcome::kMiss:
         if (a.warm) saw_cold(f, a.worker, a.sent);
         pair.copies = 0;
@@ -783,8 +795,10 @@
     pair.seen = now;
     if (!loaded) return;
     const double took = seconds(r.took);
-    strained(worker, took > kLateAt * seconds(settings.classes[f.request_class].target));
-    if (took > kLateAt * seconds(settings.classes[f.request_class].target))
+    const bool late = took > kLateAt * seconds(settings.classes[f.request_class].target);
+    strained(worker, late || busy(worker));
+    if (late) rest(worker);
+    if (late)
       cut(worker, kCutLate);
     else if (worker.in_flight + 2 > worker.limit * kNearLimit)
       worker.limit += 1 / worker.limit;
@@ -796,11 +810,17 @@
     f.run_s.add(took, class_run_s[f.request_class].value);
   }
 
+  // Evidence of a jam moves the plan away from a worker; the fewer answers a front end has from each worker,
+  // the more one of them counts.
   void strained(Worker& worker, bool bad) {
-    worker.strain = std::clamp(worker.strain * (bad ? kStrainUp : kStrainDown), 1.0, kMostStrain);
-    // Of the room that frees there this front end's part is the smaller, the more of them wait for it.
-    const double rest = std::min(seconds(kFullRest) * crowd, seconds(kLongestRest));
-    if (bad) worker.full_until = now + jittered(from_seconds(rest));
+    const double answers = requests.per_second(now) * seconds(kStrainMemory) / ready_count;
+    const double step = 1 + kStrainStep / (1 + answers);
+    worker.strain = std::clamp(worker.strain * (bad ? step : std::pow(step, -kStrainBack)), 1.0, kMostStrain);
+  }
+
+  // Of the room that frees there this front end's part is the smaller, the more of them wait for it.
+  void rest(Worker& worker) {
+    worker.full_until = now + jittered(from_seconds(std::min(seconds(kFullRest) * crowd, seconds(kLongestRest))));
   }
 
   // Late answers, refusals and time-outs all tell of a queue at the worker, whatever made it: too much
