--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cmath>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <tuple>
@@ -36,7 +37,7 @@
 constexpr int kHomes = 2;                  // workers of which one with most flow left takes a function
 constexpr double kHomesPerNeed = 1;        // further ones for each worker that it fills
 constexpr double kDoubt = 10;              // calls that a new life counts as not yet seen
-constexpr std::size_t kPeersTold = 4;      // a replan; enough to estimate a mean, linear in their number
+constexpr std::size_t kPeersTold = 2;      // at a time, at random: linear in their number
 constexpr int kReplansToDrop = 4;          // "several" unpaired replans before an own copy is dropped
 constexpr double kCallsToHold = 0.5;       // calls in a keep-alive below which idling out is cheaper
 constexpr double kRenewAt = 0.6;           // share of the keep-alive after which a hold is renewed
@@ -53,12 +54,15 @@
 constexpr double kRecent = 0.15;           // weight of a new sample in a worker's slowness
 constexpr double kRunRecent = 0.05;        // least weight of a new sample in mean run times
 constexpr double kUsualCounts = 3;         // samples for which the class's mean counts in a function's
-constexpr double kStrainStep = 2;          // growth for the first bad answer of a worker seldom heard of
+constexpr double kStrainStep = 0.5;          // growth for the first bad answer of a worker seldom heard of
 constexpr double kStrainBack = 0.4;        // power of it for a good one: three in ten bad ones keep the balance
 constexpr double kMostStrain = 8;          // a strained worker keeps some part
 constexpr Duration kStrainMemory = 10s;    // some replans: what moved away comes back slowly
 constexpr double kSlow = 2.5;              // answer time over the fleet's, from which a worker is slow
-constexpr Duration kReportFresh = 600ms;   // reports older than this say little
+constexpr Duration kReportFresh = 4s;      // a queue lasts for seconds
+constexpr double kCrowded = 1.5;           // load over the fleet's mean, from which others come first
+constexpr Duration kGossipEvery = 500ms;   // news of a worker then reaches all within a few seconds
+constexpr std::size_t kGossipWorkers = 24; // in one message
 constexpr double kColdLimit = 0.6;         // part of the fall multiple ever used: others are unseen
 constexpr double kLateAt = 0.5;            // share of the aim after which an answer tells of a queue
 constexpr double kNearLimit = 0.8;         // share of the limit in use from which answers in time raise it
@@ -73,9 +77,11 @@
 constexpr Duration kHoldBack = 40ms;       // a request that nothing can serve is answered this early
 constexpr int kMostInstances = 16;         // that one order may name
 
+constexpr Duration kAgeUnit = 20ms;  // of news, in messages to peers
+
 constexpr double kNoLimit = 1e9;  // until a worker first shows a queue
 
-constexpr TimerToken kReplanToken = 1, kSweepToken = 2, kListToken = 3, kDeadlineTokens = 1ULL << 32;
+constexpr TimerToken kReplanToken = 1, kSweepToken = 2, kListToken = 3, kGossipToken = 4, kDeadlineTokens = 1ULL << 32;
 
 std::uint64_t mix(std::uint64_t x) {
   x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -169,13 +175,13 @@
   int in_flight = 0;
   Time heard{};          // last answer of any kind
   bool suspect = false;  // silent, or its connections fail
-  Time asked{};
+  Time asked{}, probed{};
   std::optional<Time> cold_since;
   double credit = 0;  // run time that may be sent while cold
   Time credit_at{};
   double strain = 1;                               // divides its part of the plan
   double slowness = 1;                             // answer time over what the function usually takes
-  LoadReport report;
+  double load = 0;  // calls in hand or waiting, as last told by it, a probe or a peer
   Time reported{};
   Time full_until{};
   double limit = kNoLimit;  // own calls in flight that it bears without a queue, learnt from answers
@@ -233,6 +239,7 @@
   double memory = seconds(kDemandMemory);
   double crowd = 1;        // calls of all front ends for each own one
   double ready_count = 1;  // workers
+  double mean_load = 0;
 
   State(Settings s, std::uint64_t seed, Time begin, ActionSink& out)
       : settings(std::move(s)), random(seed), now(begin), start(begin), sink(out) {
@@ -240,6 +247,7 @@
     requests.since = requests.at = served_weight.since = served_weight.at = begin;
     for (const Tenant& t : settings.tenants) shares.push_back({t.quota_per_s * kShareBurst, begin});
     sink.wake(jittered(kFirstReplan), kReplanToken);
+    if (settings.bounds.peers && settings.replicas > 1) sink.wake(jittered(kGossipEvery), kGossipToken);
     if (settings.list_must_be_asked) sink.subscribe(true);
   }
 
@@ -351,11 +359,22 @@
     return false;
   }
 
+  // To a few peers at random: own rate, and the newest loads of workers, heard or told.
   void tell_peers() {
-    if (!settings.bounds.peers || settings.tenants.empty() || settings.replicas <= 1) return;
-    const auto rate = static_cast<std::uint32_t>(std::min(1e9, requests.per_second(now) * 1000));
-    std::array<std::byte, 4> bytes{};
-    for (std::size_t i = 0; i < bytes.size(); ++i) bytes[i] = static_cast<std::byte>(rate >> (24 - 8 * i));
+    std::vector<std::pair<Time, WorkerId>> news;
+    for (const auto& [id, worker] : workers)
+      if (ready(worker) && now - worker.reported < kReportFresh) news.emplace_back(worker.reported, id);
+    std::sort(news.begin(), news.end(), std::greater<>());
+    std::vector<std::byte> bytes;
+    auto put = [&](std::uint32_t value, int n) {
+      while (n-- > 0) bytes.push_back(static_cast<std::byte>(value >> (8 * n)));
+    };
+    put(static_cast<std::uint32_t>(std::min(1e9, requests.per_second(now) * 1000)), 4);
+    for (std::size_t i = 0; i < std::min(news.size(), kGossipWorkers); ++i) {
+      put(static_cast<std::uint32_t>(news[i].second), 4);
+      put(static_cast<std::uint32_t>(std::min(255.0, workers[news[i].second].load * 4)), 1);
+      put(static_cast<std::uint32_t>((now - news[i].first) / kAgeUnit), 1);
+    }
     if (settings.replicas <= kPeersTold + 1) return sink.tell(std::nullopt, bytes);
     for (std::size_t i = 0; i < kPeersTold; ++i)
       if (const auto peer = static_cast<std::uint32_t>(random.below(settings.replicas)); peer != settings.me)
@@ -376,11 +395,28 @@
                 : 1 + others / static_cast<double>(peers.size()) * (count - 1) / own;
   }
 
+  void weigh_load() {
+    double sum = 0, n = 0;
+    for (const auto& [id, worker] : workers)
+      if (ready(worker) && now - worker.reported < kReportFresh) sum += worker.load, ++n;
+    mean_load = n > 0 ? sum / n : 0;
+  }
+
   void peer_told(const PeerMessage& message) {
-    if (message.bytes.size() != sizeof(std::uint32_t)) return;
-    std::uint32_t rate = 0;
-    for (std::byte b : message.bytes) rate = (rate << 8) | std::to_integer<std::uint32_t>(b);
-    peers[message.from] = {now, rate / 1000.0};
+    std::size_t at = 0;
+    auto get = [&](int n) {
+      std::uint32_t value = 0;
+      while (n-- > 0) value = (value << 8) | std::to_integer<std::uint32_t>(message.bytes[at++]);
+      return value;
+    };
+    if (message.bytes.size() < 4) return;
+    peers[message.from] = {now, get(4) / 1000.0};
+    while (message.bytes.size() - at >= 6) {
+      const WorkerId id{get(4)};
+      const double load = get(1) / 4.0;
+      const Time when = now - kAgeUnit * (get(1) + 1);
+      if (auto w = workers.find(id); w != workers.end()) told_load(w->second, load, when);
+    }
   }
 
   // Worth of serving it, for each second of a worker's core where the goal counts requests.
@@ -408,13 +444,24 @@
     }
   }
 
-  void hear(WorkerId id, const LoadReport& report) {
+  void hear(WorkerId id, const LoadReport& r) {
     Worker& worker = workers[id];
     worker.heard = now;
-    if (report.waiting || report.in_hand || report.busy_cores) {
-      worker.report = report;
-      worker.reported = now;
-    }
+    if (!r.waiting && !r.in_hand && !r.busy_cores) return;
+    const double waiting = sane(r.waiting.value_or(0), 0), busy = sane(r.busy_cores.value_or(0), 0);
+    told_load(worker, sane(r.in_hand.value_or(0), 0) + waiting + busy, now);
+  }
+
+  void told_load(Worker& worker, double load, Time at) {
+    if (at <= worker.reported) return;
+    worker.load = load;
+    worker.reported = at;
+    if (crowded(worker)) strained(worker, true);
+  }
+
+  // It holds far more than others do: a queue, whatever made it.
+  bool crowded(const Worker& worker) const {
+    return now - worker.reported < kReportFresh && worker.load > kCrowded * mean_load + 1;
   }
 
   void suspect(WorkerId id, const char* why) {
@@ -454,6 +501,7 @@
 
   void replan() {
     weigh_crowd();
+    weigh_load();
     double total = 0, calls = 0, sizes_sum = 0, share = 0;
     std::vector<Function*> wanted;
     for (auto& [id, f] : functions) {
@@ -621,12 +669,6 @@
                         [&](const Attempt& a) { return a.worker == id && a.fate != Fate::kNeverRan; });
   }
 
-  bool busy(const Worker& worker) const {
-    if (now - worker.reported > kReportFresh) return false;
-    if (worker.report.waiting) return *worker.report.waiting >= 1;
-    return worker.report.busy_cores && *worker.report.busy_cores >= 0.97F;
-  }
-
   std::optional<WorkerId> choose(const Open& o, Function& f, Effort effort) {
     std::vector<WorkerId> roomy, calm;
     std::optional<WorkerId> target, hashed;
@@ -640,7 +682,7 @@
       if (pair && believed_warm(*pair)) {
         if (pair->in_flight < pair->copies * f.lanes) {
           roomy.push_back(id);
-          if (!busy(worker) && slowness(worker) < kSlow) calm.push_back(id);
+          if (!crowded(worker) && slowness(worker) < kSlow) calm.push_back(id);
         }
       }
       const bool waits =
@@ -725,6 +767,21 @@
     o.attempts.push_back({id, now, Fate::kOut, believed_warm(pair), false});
     start_sweep();
     sink.send(o.request.id, id, 0ns);
+    look_around(f);
+  }
+
+  // A front end with few calls hears too seldom from each worker: it asks the target least heard of.
+  void look_around(const Function& f) {
+    return;
+    std::optional<WorkerId> oldest;
+    for (const auto& [id, pair] : f.pairs) {
+      const Worker& worker = workers[id];
+      if (pair.target <= 0 || !ready(worker) || worker.suspect || now - worker.probed < kReportFresh / 4) continue;
+      if (!oldest || worker.reported < workers[*oldest].reported) oldest = id;
+    }
+    if (!oldest || now - workers[*oldest].reported < kReportFresh / 4) return;
+    workers[*oldest].probed = now;
+    sink.probe(*oldest);
   }
 
   void release_held() {
@@ -796,7 +853,7 @@
     if (!loaded) return;
     const double took = seconds(r.took);
     const bool late = took > kLateAt * seconds(settings.classes[f.request_class].target);
-    strained(worker, late || busy(worker));
+    strained(worker, late);
     if (late) rest(worker);
     if (late)
       cut(worker, kCutLate);
@@ -845,16 +902,19 @@
   }
 
   void probe_answered(const ProbeResult& result) {
-    if (!workers.contains(result.worker) || result.outcome != Outcome::kOk) return;
+    const auto it = workers.find(result.worker);
+    if (it == workers.end() || result.outcome != Outcome::kOk) return;
     hear(result.worker, result.report);
-    trust(result.worker, true);
+    if (it->second.suspect) trust(result.worker, true);
   }
 
   void timer(TimerToken token) {
     if (token == kReplanToken) {
       replan();
-      tell_peers();
       sink.wake(jittered(kReplanEvery), kReplanToken);
+    } else if (token == kGossipToken) {
+      tell_peers();
+      sink.wake(jittered(kGossipEvery), kGossipToken);
     } else if (token == kSweepToken) {
       sweep();
     } else if (token == kListToken) {
