--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -698,13 +698,13 @@
     if (!roomy.empty()) return roomy[random.below(roomy.size())];
     if (target) return target;
     // With a place that soon has it, or with the whole fleet short, the request waits here for room: one more
-    // load elsewhere would add to the jam that it flees from.
-    const bool is_short = fleet_is_short();
+    // load elsewhere would add to the jam that it flees from. So it does where it would only find a miss.
+    const bool stay = settings.instances.on_miss == MissMode::kMiss || fleet_is_short();
     const bool placed = std::any_of(f.pairs.begin(), f.pairs.end(), [&](auto& p) {
       const Worker& worker = workers[p.first];
       const bool coming =
           loading(p.second) || (p.second.in_flight > 0 && settings.instances.on_miss == MissMode::kLoad);
-      return ready(worker) && !worker.suspect && (coming || (is_short && believed_warm(p.second)));
+      return ready(worker) && !worker.suspect && (coming || (stay && believed_warm(p.second)));
     });
     if (placed) return std::nullopt;
     return hashed;
