--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -10,7 +10,6 @@
 #include <array>
 #include <cmath>
 #include <deque>
-#include <functional>
 #include <map>
 #include <string>
 #include <tuple>
@@ -33,19 +32,20 @@
 constexpr Duration kLongestMemory = 20s;   // of a front end with few calls: about as long as a spell
 constexpr double kCallsToJudge = 60;       // calls remembered before the memory may be shorter
 constexpr double kKeepsItself = 4;         // calls of all front ends in a keep-alive that keep a copy loaded
+constexpr double kMany = 8;                // times own calls in all, from which own calls tell little
 constexpr double kOrdersShared = 2;        // orders for one target and interval by all front ends together
-constexpr int kHomes = 2;                  // workers of which one with most flow left takes a function
+constexpr std::size_t kHomes = 2;          // workers of which one with most flow left takes a function
 constexpr double kHomesPerNeed = 1;        // further ones for each worker that it fills
 constexpr double kDoubt = 10;              // calls that a new life counts as not yet seen
-constexpr std::size_t kPeersTold = 2;      // at a time, at random: linear in their number
+constexpr std::size_t kPeersTold = 4;      // a replan, at random: linear in their number
 constexpr int kReplansToDrop = 4;          // "several" unpaired replans before an own copy is dropped
 constexpr double kCallsToHold = 0.5;       // calls in a keep-alive below which idling out is cheaper
 constexpr double kRenewAt = 0.6;           // share of the keep-alive after which a hold is renewed
 constexpr double kPlannedRation = 0.7;     // share of the order ration that planned orders may use
-constexpr int kLoadsPerWorker = 2;         // own loads out at one worker; its line is shared
 constexpr Duration kOrderLost = 4s;        // an order unanswered for so long no longer holds others back
 constexpr Duration kFullRest = 150ms;      // a full worker sheds its excess in about a service time
-constexpr Duration kLongestRest = 4s;      // however many front ends share the worker
+constexpr Duration kLongestRest = 4s;      // of a worker after a bad answer, however few the own calls
+constexpr double kRestCalls = 0.2;         // own calls to the worker that a rest is worth
 constexpr Duration kNoMemoryRest = 2s;     // memory frees slower: when other copies idle out
 constexpr Duration kSweepEvery = 20ms;     // looks at held requests and silent workers
 constexpr Duration kSilence = 500ms;       // beyond the usual answer time, before a worker is asked
@@ -54,34 +54,29 @@
 constexpr double kRecent = 0.15;           // weight of a new sample in a worker's slowness
 constexpr double kRunRecent = 0.05;        // least weight of a new sample in mean run times
 constexpr double kUsualCounts = 3;         // samples for which the class's mean counts in a function's
-constexpr double kStrainStep = 0.5;          // growth for the first bad answer of a worker seldom heard of
-constexpr double kStrainBack = 0.4;        // power of it for a good one: three in ten bad ones keep the balance
-constexpr double kMostStrain = 8;          // a strained worker keeps some part
-constexpr Duration kStrainMemory = 10s;    // some replans: what moved away comes back slowly
-constexpr double kSlow = 2.5;              // answer time over the fleet's, from which a worker is slow
-constexpr Duration kReportFresh = 4s;      // a queue lasts for seconds
-constexpr double kCrowded = 1.5;           // load over the fleet's mean, from which others come first
-constexpr Duration kGossipEvery = 500ms;   // news of a worker then reaches all within a few seconds
-constexpr std::size_t kGossipWorkers = 24; // in one message
-constexpr double kColdLimit = 0.6;         // part of the fall multiple ever used: others are unseen
-constexpr double kLateAt = 0.5;            // share of the aim after which an answer tells of a queue
-constexpr double kNearLimit = 0.8;         // share of the limit in use from which answers in time raise it
-constexpr double kCutLate = 0.9;           // a late answer's cut of the limit: some are late by nature
-constexpr double kCutFull = 0.85;          // a refusal's or time-out's cut: these tell of a full queue
-constexpr Duration kCutEvery = 100ms;      // one cut for answers that tell of the same queue
-constexpr double kWaitShare = 0.4;         // share of the aim for which a request waits here for room
-constexpr Duration kPressedFor = 300ms;    // lack of room is remembered so long for over-share traffic
-constexpr double kShareBurst = 1.0;        // seconds of its share that a tenant may ask at once
-constexpr double kUnheardPart = 0.8;       // share of own traffic that is surely within shares, unheard
-constexpr Duration kPeerStands = 7s;       // some replans: a peer that stays silent has died
-constexpr Duration kHoldBack = 40ms;       // a request that nothing can serve is answered this early
-constexpr int kMostInstances = 16;         // that one order may name
-
-constexpr Duration kAgeUnit = 20ms;  // of news, in messages to peers
+constexpr double kStrainStep = 0.5;        // growth for the first bad answer of a worker seldom heard of
+constexpr double kStrainBack = 0.4;      // power of it for a good one: three in ten bad ones keep the balance
+constexpr double kMostStrain = 8;        // a strained worker keeps some part
+constexpr Duration kStrainMemory = 10s;  // some replans: what moved away comes back slowly
+constexpr double kSlow = 2.5;            // strain from which a worker comes after others
+constexpr Duration kReportFresh = 600ms;  // reports older than this say little
+constexpr double kColdLimit = 0.6;        // part of the fall multiple ever used: others are unseen
+constexpr double kLateAt = 0.5;           // share of the aim after which an answer tells of a queue
+constexpr double kNearLimit = 0.8;        // share of the limit in use from which answers in time raise it
+constexpr double kCutLate = 0.9;          // a late answer's cut of the limit: some are late by nature
+constexpr Duration kCutEvery = 100ms;     // one cut for answers that tell of the same queue
+constexpr double kWaitShare = 0.4;        // share of the aim for which a request waits here for room
+constexpr Duration kPressedFor = 300ms;   // lack of room is remembered so long for over-share traffic
+constexpr double kShareBurst = 1.0;       // seconds of its share that a tenant may ask at once
+constexpr double kUnheardPart = 0.8;      // share of own traffic that is surely within shares, unheard
+constexpr Duration kPeerStands = 7s;      // some replans: a peer that stays silent has died
+constexpr Duration kForgetAfter = 60s;    // longer than any client waits and any copy idles
+constexpr Duration kHoldBack = 40ms;      // a request that nothing can serve is answered this early
+constexpr int kMostInstances = 16;        // that one order may name
 
 constexpr double kNoLimit = 1e9;  // until a worker first shows a queue
 
-constexpr TimerToken kReplanToken = 1, kSweepToken = 2, kListToken = 3, kGossipToken = 4, kDeadlineTokens = 1ULL << 32;
+constexpr TimerToken kReplanToken = 1, kSweepToken = 2, kListToken = 3, kDeadlineTokens = 1ULL << 32;
 
 std::uint64_t mix(std::uint64_t x) {
   x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -164,8 +159,9 @@
   double lanes = 1, memory_mb = 0;
   Mean run_s, work_s;  // as answers took, and as hints say
   Rate calls;
+  Time needed{};    // the latest deadline of its calls
   double flow = 0;  // left to match, in busy lanes, during a plan
-  std::ptrdiff_t homes = 1;
+  std::size_t homes = 1;
   std::map<WorkerId, Pair> pairs;
 };
 
@@ -175,13 +171,13 @@
   int in_flight = 0;
   Time heard{};          // last answer of any kind
   bool suspect = false;  // silent, or its connections fail
-  Time asked{}, probed{};
+  Time asked{};
   std::optional<Time> cold_since;
   double credit = 0;  // run time that may be sent while cold
   Time credit_at{};
-  double strain = 1;                               // divides its part of the plan
-  double slowness = 1;                             // answer time over what the function usually takes
-  double load = 0;  // calls in hand or waiting, as last told by it, a probe or a peer
+  double strain = 1;      // divides its part of the plan
+  double slowness = 1;    // answer time over what the function usually takes
+  bool queueing = false;  // as it last reported
   Time reported{};
   Time full_until{};
   double limit = kNoLimit;  // own calls in flight that it bears without a queue, learnt from answers
@@ -190,8 +186,6 @@
   double slots = 0;
 };
 
-enum class Effort { kUsual, kColdToTheLimit, kAnyone };  // how far routing goes to find a worker
-
 struct Share {
   double left = 0;
   Time at{};
@@ -239,7 +233,6 @@
   double memory = seconds(kDemandMemory);
   double crowd = 1;        // calls of all front ends for each own one
   double ready_count = 1;  // workers
-  double mean_load = 0;
 
   State(Settings s, std::uint64_t seed, Time begin, ActionSink& out)
       : settings(std::move(s)), random(seed), now(begin), start(begin), sink(out) {
@@ -247,7 +240,6 @@
     requests.since = requests.at = served_weight.since = served_weight.at = begin;
     for (const Tenant& t : settings.tenants) shares.push_back({t.quota_per_s * kShareBurst, begin});
     sink.wake(jittered(kFirstReplan), kReplanToken);
-    if (settings.bounds.peers && settings.replicas > 1) sink.wake(jittered(kGossipEvery), kGossipToken);
     if (settings.list_must_be_asked) sink.subscribe(true);
   }
 
@@ -307,7 +299,8 @@
     return age >= 1 ? 1 : settings.rules.cold_from + (1 - settings.rules.cold_from) * std::max(age, 0.0);
   }
 
-  double slowness(const Worker& worker) const { return std::max(1.0, worker.slowness) * worker.strain; }
+  // Its part of the plan: what is cold, slow or jammed has full lanes on paper only.
+  double pace(const Worker& w) const { return warmth(w) / (std::max(1.0, w.slowness) * w.strain); }
 
   // ---- Demand -----------------------------------------------------------------------------------
 
@@ -318,7 +311,9 @@
   }
 
   // What a call costs its worker: as hints say, which no queue lengthens, else as answers took.
-  double work_seconds(const Function& f) const { return f.work_s.value > 0 ? f.work_s.value : run_seconds(f); }
+  double work_seconds(const Function& f) const {
+    return f.work_s.value > 0 ? f.work_s.value : run_seconds(f);
+  }
 
   Function& learn_function(const Request& r) {
     auto [it, fresh] = functions.try_emplace(r.function);
@@ -329,6 +324,7 @@
       f.calls.since = start;
     }
     f.request_class = r.request_class;
+    f.needed = std::max(f.needed, r.deadline);
     f.lanes = std::max(1.0, std::floor(sane(r.lanes, 1)));
     f.memory_mb = sane(r.memory_mb, 0);
     f.calls.memory = memory;
@@ -359,22 +355,11 @@
     return false;
   }
 
-  // To a few peers at random: own rate, and the newest loads of workers, heard or told.
   void tell_peers() {
-    std::vector<std::pair<Time, WorkerId>> news;
-    for (const auto& [id, worker] : workers)
-      if (ready(worker) && now - worker.reported < kReportFresh) news.emplace_back(worker.reported, id);
-    std::sort(news.begin(), news.end(), std::greater<>());
-    std::vector<std::byte> bytes;
-    auto put = [&](std::uint32_t value, int n) {
-      while (n-- > 0) bytes.push_back(static_cast<std::byte>(value >> (8 * n)));
-    };
-    put(static_cast<std::uint32_t>(std::min(1e9, requests.per_second(now) * 1000)), 4);
-    for (std::size_t i = 0; i < std::min(news.size(), kGossipWorkers); ++i) {
-      put(static_cast<std::uint32_t>(news[i].second), 4);
-      put(static_cast<std::uint32_t>(std::min(255.0, workers[news[i].second].load * 4)), 1);
-      put(static_cast<std::uint32_t>((now - news[i].first) / kAgeUnit), 1);
-    }
+    if (!settings.bounds.peers || settings.replicas <= 1) return;
+    const auto rate = static_cast<std::uint32_t>(std::min(1e9, requests.per_second(now) * 1000));
+    std::array<std::byte, 4> bytes{};
+    for (std::size_t i = 0; i < bytes.size(); ++i) bytes[i] = static_cast<std::byte>(rate >> (24 - 8 * i));
     if (settings.replicas <= kPeersTold + 1) return sink.tell(std::nullopt, bytes);
     for (std::size_t i = 0; i < kPeersTold; ++i)
       if (const auto peer = static_cast<std::uint32_t>(random.below(settings.replicas)); peer != settings.me)
@@ -390,33 +375,18 @@
     std::erase_if(peers, [&](auto& told) { return now - told.second.first >= kPeerStands; });
     for (const auto& [peer, told] : peers) others += told.second;
     const double count = std::max(1U, settings.replicas);
-    crowd = peers.empty() || own <= 0
-                ? count
-                : 1 + others / static_cast<double>(peers.size()) * (count - 1) / own;
+    crowd = peers.empty() || own <= 0 ? count
+                                      : 1 + others / static_cast<double>(peers.size()) * (count - 1) / own;
   }
 
-  void weigh_load() {
-    double sum = 0, n = 0;
-    for (const auto& [id, worker] : workers)
-      if (ready(worker) && now - worker.reported < kReportFresh) sum += worker.load, ++n;
-    mean_load = n > 0 ? sum / n : 0;
-  }
+  // Its own calls are a small part: what it sees of a worker or a function is mostly the doing of others.
+  bool one_of_many() const { return crowd > kMany; }
 
   void peer_told(const PeerMessage& message) {
-    std::size_t at = 0;
-    auto get = [&](int n) {
-      std::uint32_t value = 0;
-      while (n-- > 0) value = (value << 8) | std::to_integer<std::uint32_t>(message.bytes[at++]);
-      return value;
-    };
-    if (message.bytes.size() < 4) return;
-    peers[message.from] = {now, get(4) / 1000.0};
-    while (message.bytes.size() - at >= 6) {
-      const WorkerId id{get(4)};
-      const double load = get(1) / 4.0;
-      const Time when = now - kAgeUnit * (get(1) + 1);
-      if (auto w = workers.find(id); w != workers.end()) told_load(w->second, load, when);
-    }
+    if (message.bytes.size() != sizeof(std::uint32_t)) return;
+    std::uint32_t rate = 0;
+    for (std::byte b : message.bytes) rate = (rate << 8) | std::to_integer<std::uint32_t>(b);
+    peers[message.from] = {now, rate / 1000.0};
   }
 
   // Worth of serving it, for each second of a worker's core where the goal counts requests.
@@ -444,24 +414,12 @@
     }
   }
 
-  void hear(WorkerId id, const LoadReport& r) {
+  void hear(WorkerId id, const LoadReport& report) {
     Worker& worker = workers[id];
     worker.heard = now;
-    if (!r.waiting && !r.in_hand && !r.busy_cores) return;
-    const double waiting = sane(r.waiting.value_or(0), 0), busy = sane(r.busy_cores.value_or(0), 0);
-    told_load(worker, sane(r.in_hand.value_or(0), 0) + waiting + busy, now);
-  }
-
-  void told_load(Worker& worker, double load, Time at) {
-    if (at <= worker.reported) return;
-    worker.load = load;
-    worker.reported = at;
-    if (crowded(worker)) strained(worker, true);
-  }
-
-  // It holds far more than others do: a queue, whatever made it.
-  bool crowded(const Worker& worker) const {
-    return now - worker.reported < kReportFresh && worker.load > kCrowded * mean_load + 1;
+    if (!report.waiting && !report.busy_cores) return;
+    worker.reported = now;
+    worker.queueing = report.waiting ? *report.waiting >= 1 : *report.busy_cores >= 0.97F;
   }
 
   void suspect(WorkerId id, const char* why) {
@@ -494,14 +452,28 @@
     Pair& pair = f.pairs[id];
     pair.target = static_cast<int>(copies);
     // What all front ends plan alike and call often enough stands, though this one has not called it there.
-    pair.shared = crowd > kKeepsItself && warmth(worker) >= 1 && now - pair.denied > settings.instances.keep_alive &&
+    pair.shared = one_of_many() && warmth(worker) >= 1 && now - pair.denied > settings.instances.keep_alive &&
                   matched / work_seconds(f) * seconds(settings.instances.keep_alive) > kKeepsItself;
     if (pair.shared) pair.copies = std::max(pair.copies, 1);
   }
 
+  // A long life meets many workers and functions: what is long gone and nothing open can name is dropped.
+  void forget_old() {
+    const Time old = now - kForgetAfter;
+    for (auto& [id, f] : functions)
+      std::erase_if(f.pairs, [&](auto& pair) {
+        const Pair& p = pair.second;
+        return !p.in_flight && !p.target && std::max({p.seen, p.ordered_at, p.full_until}) < old;
+      });
+    std::erase_if(functions, [&](auto& f) { return f.second.pairs.empty() && f.second.needed < old; });
+    std::erase_if(workers, [&](auto& w) {
+      return w.second.entry.state == WorkerState::kGone && !w.second.in_flight && w.second.heard < old;
+    });
+  }
+
   void replan() {
+    forget_old();
     weigh_crowd();
-    weigh_load();
     double total = 0, calls = 0, sizes_sum = 0, share = 0;
     std::vector<Function*> wanted;
     for (auto& [id, f] : functions) {
@@ -524,10 +496,10 @@
       if (ready(worker) && !worker.suspect) {
         worker.strain = 1 + (worker.strain - 1) * std::exp(-seconds(kReplanEvery) / seconds(kStrainMemory));
         fleet.emplace_back(id, &worker);
-        share += warmth(worker) / slowness(worker);
+        share += pace(worker);
       }
     for (auto& [id, worker] : fleet) {
-      worker->flow = kFlowHeadroom * total * warmth(*worker) / slowness(*worker) / std::max(share, 1e-9);
+      worker->flow = kFlowHeadroom * total * pace(*worker) / std::max(share, 1e-9);
       const auto& sizes = settings.instances.memory_mb_by_kind;
       const double size = worker->entry.kind < sizes.size() ? sizes[worker->entry.kind] : 0;
       worker->slots = sizes_sum > 0 && size > 0
@@ -536,13 +508,15 @@
     }
     const double mean_flow = kFlowHeadroom * total / std::max<double>(1, static_cast<double>(fleet.size()));
     for (Function* f : wanted)
-      f->homes = kHomes + static_cast<std::ptrdiff_t>(kHomesPerNeed * f->flow / std::max(mean_flow, 1e-9));
+      f->homes = !one_of_many()
+                     ? 1
+                     : kHomes + static_cast<std::size_t>(kHomesPerNeed * f->flow / std::max(mean_flow, 1e-9));
     std::stable_sort(wanted.begin(), wanted.end(), [](auto* a, auto* b) { return a->flow > b->flow; });
     for (Function* f : wanted)  // current pairs that still get flow are kept first
       for (auto& [id, pair] : f->pairs) {
         const auto at = std::find_if(fleet.begin(), fleet.end(), [&](auto& w) { return w.first == id; });
-        if (pair.current && at != fleet.end() && at->second->strain < kSlow && f->flow > 0 && at->second->flow > 0 &&
-            at->second->slots >= 1)
+        if (pair.current && at != fleet.end() && at->second->strain < kSlow && f->flow > 0 &&
+            at->second->flow > 0 && at->second->slots >= 1)
           match(*f, id, *at->second);
       }
     while (true) {
@@ -561,15 +535,13 @@
         fit.push_back(&w);
       }
       auto takes = [&](auto* w) { return std::min(w->second->flow, (*f)->flow); };
-      auto rank = [&](auto* w) { return std::tuple(takes(w), affinity((*f)->id, w->first)); };
-      auto left = [&](auto* w) {
-        return std::tuple(w->second->flow, affinity((*f)->id, w->first));
-      };
-      const auto few = fit.begin() + std::min<std::ptrdiff_t>(std::ssize(fit), (*f)->homes);
-      std::partial_sort(fit.begin(), few, fit.end(), [&](auto* a, auto* b) { return rank(a) > rank(b); });
+      auto hash = [&](auto* w) { return affinity((*f)->id, w->first); };
+      std::sort(fit.begin(), fit.end(), [&](auto* a, auto* b) {
+        return std::tuple(takes(a), hash(a)) > std::tuple(takes(b), hash(b));
+      });
       const std::pair<WorkerId, Worker*>* best = nullptr;
-      for (auto w = fit.begin(); w != few; ++w)
-        if (!best || (takes(*w) >= takes(best) && left(*w) > left(best))) best = *w;
+      for (auto* w : std::span(fit).first(std::min(fit.size(), (*f)->homes)))
+        if (!best || (takes(w) >= takes(best) && w->second->flow > best->second->flow)) best = w;
       if (best)
         match(**f, best->first, *best->second);
       else
@@ -587,8 +559,7 @@
         const bool stands = believed_warm(pair) && pair.copies >= pair.target;
         const bool ageing = now - pair.seen > from_seconds(kRenewAt * seconds(settings.instances.keep_alive));
         const bool wanted_now = !stands || (ageing && pair.in_flight == 0 && !pair.shared);
-        const double planners = std::min(crowd, std::max(1.0, f->calls.mass * crowd));
-        if (wanted_now && random.unit() < kOrdersShared / planners) order(*f, id, pair.target, false);
+        if (wanted_now && random.unit() < kOrdersShared / crowd) order(*f, id, pair.target, false);
       }
     for (auto& [fid, f] : functions)
       for (auto& [id, pair] : f.pairs) {
@@ -608,8 +579,6 @@
     Pair& pair = f.pairs[id];
     if (!settings.instances.orders || !ready(worker) || worker.suspect) return false;
     if (loading(pair) || pair.full_until > now) return false;
-    const bool load = !believed_warm(pair) || pair.copies < count;
-    if (load && loads_out(id) >= kLoadsPerWorker) return false;
     if (!within_ration(asked_for ? 1.0 : kPlannedRation)) return false;
     pair.ordered = std::clamp(count, 1, kMostInstances);
     pair.ordered_at = now;
@@ -618,15 +587,6 @@
     return true;
   }
 
-  int loads_out(WorkerId id) const {
-    int n = 0;
-    for (const auto& [fid, f] : functions)
-      if (auto p = f.pairs.find(id);
-          p != f.pairs.end() && loading(p->second) && p->second.copies < p->second.ordered)
-        ++n;
-    return n;
-  }
-
   // Rule 5. The edges of the window are taken against us: orders count a little longer than requests.
   bool within_ration(double part) {
     const Instances& in = settings.instances;
@@ -669,20 +629,21 @@
                         [&](const Attempt& a) { return a.worker == id && a.fate != Fate::kNeverRan; });
   }
 
-  std::optional<WorkerId> choose(const Open& o, Function& f, Effort effort) {
+  std::optional<WorkerId> choose(const Open& o, Function& f, bool suspects_too) {
     std::vector<WorkerId> roomy, calm;
     std::optional<WorkerId> target, hashed;
     int target_load = 0;
     for (auto& [id, worker] : workers) {
-      if (!ready(worker) || (worker.suspect && effort != Effort::kAnyone) || !rested(o, id, worker, f))
-        continue;
-      if (!may_send(o, worker, effort)) continue;
+      if (!ready(worker) || (worker.suspect && !suspects_too) || !rested(o, id, worker, f)) continue;
+      if (!may_send(o, worker)) continue;
       const auto it = f.pairs.find(id);
       Pair* pair = it == f.pairs.end() ? nullptr : &it->second;
       if (pair && believed_warm(*pair)) {
         if (pair->in_flight < pair->copies * f.lanes) {
           roomy.push_back(id);
-          if (!crowded(worker) && slowness(worker) < kSlow) calm.push_back(id);
+          if (!(worker.queueing && now - worker.reported < kReportFresh) &&
+              worker.strain * worker.slowness < kSlow)
+            calm.push_back(id);
         }
       }
       const bool waits =
@@ -699,7 +660,7 @@
     if (target) return target;
     // With a place that soon has it, or with the whole fleet short, the request waits here for room: one more
     // load elsewhere would add to the jam that it flees from. So it does where it would only find a miss.
-    const bool stay = settings.instances.on_miss == MissMode::kMiss || fleet_is_short();
+    const bool stay = settings.instances.on_miss == MissMode::kMiss || !one_of_many() || fleet_is_short();
     const bool placed = std::any_of(f.pairs.begin(), f.pairs.end(), [&](auto& p) {
       const Worker& worker = workers[p.first];
       const bool coming =
@@ -723,11 +684,9 @@
     if (o.answered || o.streaming) return;
     Function& f = functions[o.request.function];
     if (may_attempt(o)) {
-      std::optional<WorkerId> to = choose(o, f, Effort::kUsual);
-      if (!to) to = choose(o, f, Effort::kColdToTheLimit);
-      if (!to && std::none_of(workers.begin(), workers.end(),
-                              [&](auto& w) { return ready(w.second) && !w.second.suspect; }))
-        to = choose(o, f, Effort::kAnyone);
+      const bool suspects_only = std::none_of(workers.begin(), workers.end(),
+                                              [&](auto& w) { return ready(w.second) && !w.second.suspect; });
+      const std::optional<WorkerId> to = choose(o, f, suspects_only);
       if (to) return send(o, f, *to);
     }
     if (o.out == 0) {
@@ -768,21 +727,6 @@
     o.attempts.push_back({id, now, Fate::kOut, believed_warm(pair), false});
     start_sweep();
     sink.send(o.request.id, id, 0ns);
-    look_around(f);
-  }
-
-  // A front end with few calls hears too seldom from each worker: it asks the target least heard of.
-  void look_around(const Function& f) {
-    return;
-    std::optional<WorkerId> oldest;
-    for (const auto& [id, pair] : f.pairs) {
-      const Worker& worker = workers[id];
-      if (pair.target <= 0 || !ready(worker) || worker.suspect || now - worker.probed < kReportFresh / 4) continue;
-      if (!oldest || worker.reported < workers[*oldest].reported) oldest = id;
-    }
-    if (!oldest || now - workers[*oldest].reported < kReportFresh / 4) return;
-    workers[*oldest].probed = now;
-    sink.probe(*oldest);
   }
 
   void release_held() {
@@ -821,7 +765,7 @@
       case Outcome::kFull:
       case Outcome::kTimeout:
         strained(worker, true);
-        rest(worker);
+        rest(worker, r.outcome == Outcome::kFull ? kFullRest : 0ns);
         break;
       case Outcome::kMiss:
         if (a.warm) saw_cold(f, a.worker, a.sent);
@@ -855,15 +799,12 @@
     const double took = seconds(r.took);
     const bool late = took > kLateAt * seconds(settings.classes[f.request_class].target);
     strained(worker, late);
-    if (late) rest(worker);
     if (late)
-      cut(worker, kCutLate);
+      rest(worker, 0ns), cut(worker, kCutLate);
     else if (worker.in_flight + 2 > worker.limit * kNearLimit)
       worker.limit += 1 / worker.limit;
-    if (f.run_s.value > 0) {
-      const double ratio = std::clamp(took / f.run_s.value, 0.1, 10.0);
-      worker.slowness += kRecent * (ratio - worker.slowness);
-    }
+    if (f.run_s.value > 0)
+      worker.slowness += kRecent * (std::clamp(took / f.run_s.value, 0.1, 10.0) - worker.slowness);
     class_run_s[f.request_class].add(took, -1);
     f.run_s.add(took, class_run_s[f.request_class].value);
   }
@@ -876,9 +817,13 @@
     worker.strain = std::clamp(worker.strain * (bad ? step : std::pow(step, -kStrainBack)), 1.0, kMostStrain);
   }
 
-  // Of the room that frees there this front end's part is the smaller, the more of them wait for it.
-  void rest(Worker& worker) {
-    worker.full_until = now + jittered(from_seconds(std::min(seconds(kFullRest) * crowd, seconds(kLongestRest))));
+  // For as long as the worker would else get a part of a call from here: a front end with few calls has no
+  // other way to send less, and one with many goes by its limit.
+  void rest(Worker& worker, Duration least) {
+    const double usual = kRestCalls * ready_count / std::max(requests.per_second(now), 1e-9);
+    const Duration rest =
+        std::clamp(from_seconds(std::min(usual, seconds(kLongestRest))), least, kLongestRest);
+    worker.full_until = std::max(worker.full_until, now + jittered(rest));
   }
 
   // Late answers, refusals and time-outs all tell of a queue at the worker, whatever made it: too much
@@ -903,19 +848,16 @@
   }
 
   void probe_answered(const ProbeResult& result) {
-    const auto it = workers.find(result.worker);
-    if (it == workers.end() || result.outcome != Outcome::kOk) return;
+    if (!workers.contains(result.worker) || result.outcome != Outcome::kOk) return;
     hear(result.worker, result.report);
-    if (it->second.suspect) trust(result.worker, true);
+    trust(result.worker, true);
   }
 
   void timer(TimerToken token) {
     if (token == kReplanToken) {
       replan();
-      sink.wake(jittered(kReplanEvery), kReplanToken);
-    } else if (token == kGossipToken) {
       tell_peers();
-      sink.wake(jittered(kGossipEvery), kGossipToken);
+      sink.wake(jittered(kReplanEvery), kReplanToken);
     } else if (token == kSweepToken) {
       sweep();
     } else if (token == kListToken) {
@@ -1019,7 +961,7 @@
   }
 
   // Rules 2 and 4, for one worker.
-  bool may_send(const Open& o, Worker& worker, Effort effort) {
+  bool may_send(const Open& o, Worker& worker) {
     const RequestClass& c = class_of(o.request);
     if (c.semantics == Semantics::kKeyed)
       for (const Attempt& a : o.attempts) {
@@ -1030,7 +972,7 @@
         if (c.group == RepeatGroup::kCell && first.cell != worker.entry.cell) return false;
         break;
       }
-    return cold_budget(worker, weight(o.request.request_class), effort);
+    return cold_budget(worker, weight(o.request.request_class));
   }
 
   // A worker that starts. Credit begins at a random part of a call, so that the first calls of many front
@@ -1044,7 +986,7 @@
   // Rule 4. What a warm worker bears is measured by what this front end has had served, per ready worker:
   // sends would count retries and refusals too, and grow just when the fleet cannot bear more. Each front
   // end gives a cold worker at most its share of that, so the sum over unseen front ends is in proportion.
-  bool cold_budget(Worker& worker, double w, Effort effort) {
+  bool cold_budget(Worker& worker, double w) {
     const double share = warmth(worker);
     if (share >= 1) return true;
     const double limit = std::max(1.0, kColdLimit * settings.rules.fall_multiple);
@@ -1052,7 +994,7 @@
     const double most = std::max(w * 1.001, rate * seconds(settings.rules.overload_for));
     worker.credit = std::min(most, worker.credit + rate * seconds(now - worker.credit_at));
     worker.credit_at = now;
-    return worker.credit >= (effort == Effort::kUsual ? std::max(w, most * (1 - 1 / limit)) : w);
+    return worker.credit >= w;
   }
 
   bool may_refuse(const Open& o) const {
