--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -762,10 +762,11 @@
     }
     switch (r.outcome) {
       case Outcome::kOk: served(f, pair, worker, a, r); break;
-      case Outcome::kFull:
+      // A refusal may be meant for one function, class or tenant only, though there is room for others.
+      case Outcome::kFull: pair.full_until = now + rest(kFullRest); break;
       case Outcome::kTimeout:
         strained(worker, true);
-        rest(worker, r.outcome == Outcome::kFull ? kFullRest : 0ns);
+        worker.full_until = std::max(worker.full_until, now + rest(0ns));
         break;
       case Outcome::kMiss:
         if (a.warm) saw_cold(f, a.worker, a.sent);
@@ -800,7 +801,7 @@
     const bool late = took > kLateAt * seconds(settings.classes[f.request_class].target);
     strained(worker, late);
     if (late)
-      rest(worker, 0ns), cut(worker, kCutLate);
+      worker.full_until = std::max(worker.full_until, now + rest(0ns)), cut(worker, kCutLate);
     else if (worker.in_flight + 2 > worker.limit * kNearLimit)
       worker.limit += 1 / worker.limit;
     if (f.run_s.value > 0)
@@ -819,11 +820,9 @@
 
   // For as long as the worker would else get a part of a call from here: a front end with few calls has no
   // other way to send less, and one with many goes by its limit.
-  void rest(Worker& worker, Duration least) {
+  Duration rest(Duration least) {
     const double usual = kRestCalls * ready_count / std::max(requests.per_second(now), 1e-9);
-    const Duration rest =
-        std::clamp(from_seconds(std::min(usual, seconds(kLongestRest))), least, kLongestRest);
-    worker.full_until = std::max(worker.full_until, now + jittered(rest));
+    return jittered(std::clamp(from_seconds(std::min(usual, seconds(kLongestRest))), least, kLongestRest));
   }
 
   // Late answers, refusals and time-outs all tell of a queue at the worker, whatever made it: too much
