--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -31,11 +31,8 @@
 constexpr Duration kDemandMemory = 5s;     // decay of demand: some replans long, shorter than a spell
 constexpr Duration kLongestMemory = 20s;   // of a front end with few calls: about as long as a spell
 constexpr double kCallsToJudge = 60;       // calls remembered before the memory may be shorter
-constexpr double kKeepsItself = 4;         // calls of all front ends in a keep-alive that keep a copy loaded
 constexpr double kMany = 8;                // times own calls in all, from which own calls tell little
 constexpr double kOrdersShared = 2;        // orders for one target and interval by all front ends together
-constexpr std::size_t kHomes = 2;          // workers of which one with most flow left takes a function
-constexpr double kHomesPerNeed = 1;        // further ones for each worker that it fills
 constexpr double kDoubt = 10;              // calls that a new life counts as not yet seen
 constexpr std::size_t kPeersTold = 4;      // a replan, at random: linear in their number
 constexpr int kReplansToDrop = 4;          // "several" unpaired replans before an own copy is dropped
@@ -54,25 +51,18 @@
 constexpr double kRecent = 0.15;           // weight of a new sample in a worker's slowness
 constexpr double kRunRecent = 0.05;        // least weight of a new sample in mean run times
 constexpr double kUsualCounts = 3;         // samples for which the class's mean counts in a function's
-constexpr double kStrainStep = 0.5;        // growth for the first bad answer of a worker seldom heard of
-constexpr double kStrainBack = 0.4;      // power of it for a good one: three in ten bad ones keep the balance
-constexpr double kMostStrain = 8;        // a strained worker keeps some part
-constexpr Duration kStrainMemory = 10s;  // some replans: what moved away comes back slowly
-constexpr double kSlow = 2.5;            // strain from which a worker comes after others
-constexpr Duration kReportFresh = 600ms;  // reports older than this say little
-constexpr double kColdLimit = 0.6;        // part of the fall multiple ever used: others are unseen
-constexpr double kLateAt = 0.5;           // share of the aim after which an answer tells of a queue
-constexpr double kNearLimit = 0.8;        // share of the limit in use from which answers in time raise it
-constexpr double kCutLate = 0.9;          // a late answer's cut of the limit: some are late by nature
-constexpr Duration kCutEvery = 100ms;     // one cut for answers that tell of the same queue
-constexpr double kWaitShare = 0.4;        // share of the aim for which a request waits here for room
-constexpr Duration kPressedFor = 300ms;   // lack of room is remembered so long for over-share traffic
-constexpr double kShareBurst = 1.0;       // seconds of its share that a tenant may ask at once
-constexpr double kUnheardPart = 0.8;      // share of own traffic that is surely within shares, unheard
-constexpr Duration kPeerStands = 7s;      // some replans: a peer that stays silent has died
-constexpr Duration kForgetAfter = 60s;    // longer than any client waits and any copy idles
-constexpr Duration kHoldBack = 40ms;      // a request that nothing can serve is answered this early
-constexpr int kMostInstances = 16;        // that one order may name
+constexpr double kSlow = 2.5;              // strain from which a worker comes after others
+constexpr double kColdLimit = 0.6;         // part of the fall multiple ever used: others are unseen
+constexpr double kLateAt = 0.5;            // share of the aim after which an answer tells of a queue
+constexpr double kNearLimit = 0.8;         // share of the limit in use from which answers in time raise it
+constexpr double kCutLate = 0.9;           // a late answer's cut of the limit: some are late by nature
+constexpr double kWaitShare = 0.4;         // share of the aim for which a request waits here for room
+constexpr double kShareBurst = 1.0;        // seconds of its share that a tenant may ask at once
+constexpr double kUnheardPart = 0.8;       // share of own traffic that is surely within shares, unheard
+constexpr Duration kPeerStands = 7s;       // some replans: a peer that stays silent has died
+constexpr Duration kForgetAfter = 60s;     // longer than any client waits and any copy idles
+constexpr Duration kHoldBack = 40ms;       // a request that nothing can serve is answered this early
+constexpr int kMostInstances = 16;         // that one order may name
 
 constexpr double kNoLimit = 1e9;  // until a worker first shows a queue
 
@@ -148,8 +138,6 @@
   bool current = false;  // it was a target of the plan before
   int unpaired = 0;      // replans since the plan last wanted one
   bool placed = false;   // an own order brought a copy
-  bool shared = false;   // calls of all front ends keep it loaded
-  Time denied{};         // when it was last found not to stand
   Time full_until{};     // no lane, or no memory for another copy
 };
 
@@ -161,7 +149,6 @@
   Rate calls;
   Time needed{};    // the latest deadline of its calls
   double flow = 0;  // left to match, in busy lanes, during a plan
-  std::size_t homes = 1;
   std::map<WorkerId, Pair> pairs;
 };
 
@@ -175,14 +162,10 @@
   std::optional<Time> cold_since;
   double credit = 0;  // run time that may be sent while cold
   Time credit_at{};
-  double strain = 1;      // divides its part of the plan
-  double slowness = 1;    // answer time over what the function usually takes
-  bool queueing = false;  // as it last reported
-  Time reported{};
+  double slowness = 1;  // answer time over what the function usually takes
   Time full_until{};
   double limit = kNoLimit;  // own calls in flight that it bears without a queue, learnt from answers
-  Time cut_at{};
-  double flow = 0;  // during a plan
+  double flow = 0;          // during a plan
   double slots = 0;
 };
 
@@ -229,7 +212,6 @@
   std::vector<Share> shares;  // by tenant
   Rate requests;
   std::map<std::uint32_t, std::pair<Time, double>> peers;  // requests a second, as told
-  std::optional<Time> pressed;                             // when a request last found no room
   double memory = seconds(kDemandMemory);
   double crowd = 1;        // calls of all front ends for each own one
   double ready_count = 1;  // workers
@@ -300,7 +282,7 @@
   }
 
   // Its part of the plan: what is cold, slow or jammed has full lanes on paper only.
-  double pace(const Worker& w) const { return warmth(w) / (std::max(1.0, w.slowness) * w.strain); }
+  double pace(const Worker& w) const { return warmth(w) / std::max(1.0, w.slowness); }
 
   // ---- Demand -----------------------------------------------------------------------------------
 
@@ -315,7 +297,7 @@
     return f.work_s.value > 0 ? f.work_s.value : run_seconds(f);
   }
 
-  Function& learn_function(const Request& r) {
+  void learn_function(const Request& r) {
     auto [it, fresh] = functions.try_emplace(r.function);
     Function& f = it->second;
     if (fresh) {
@@ -334,7 +316,6 @@
       usual.add(seconds(*r.work_hint), -1);
       f.work_s.add(seconds(*r.work_hint), usual.value);
     }
-    return f;
   }
 
   // What a tenant asks beyond its share of this front end's part is worth little. The part is this front
@@ -401,7 +382,7 @@
   // ---- Beliefs ----------------------------------------------------------------------------------
 
   bool believed_warm(const Pair& p) const {
-    return p.copies > 0 && (p.shared || p.in_flight > 0 || now - p.seen < settings.instances.keep_alive);
+    return p.copies > 0 && (p.in_flight > 0 || now - p.seen < settings.instances.keep_alive);
   }
   bool loading(const Pair& p) const { return p.ordered > 0 && now - p.ordered_at < kOrderLost; }
 
@@ -409,19 +390,10 @@
   // believed elsewhere. Also guards against others' releases; may hurt where workers evict often.
   void saw_cold(Function& f, WorkerId at, Time sent) {
     for (auto& [id, p] : f.pairs) {
-      if (id == at) p.denied = now;
       if (id == at || (p.seen <= sent && !p.in_flight)) p.copies = 0;
     }
   }
 
-  void hear(WorkerId id, const LoadReport& report) {
-    Worker& worker = workers[id];
-    worker.heard = now;
-    if (!report.waiting && !report.busy_cores) return;
-    worker.reported = now;
-    worker.queueing = report.waiting ? *report.waiting >= 1 : *report.busy_cores >= 0.97F;
-  }
-
   void suspect(WorkerId id, const char* why) {
     Worker& worker = workers[id];
     if (worker.suspect) return;
@@ -449,12 +421,7 @@
     worker.flow -= matched;
     f.flow -= matched;
     worker.slots -= copies;
-    Pair& pair = f.pairs[id];
-    pair.target = static_cast<int>(copies);
-    // What all front ends plan alike and call often enough stands, though this one has not called it there.
-    pair.shared = one_of_many() && warmth(worker) >= 1 && now - pair.denied > settings.instances.keep_alive &&
-                  matched / work_seconds(f) * seconds(settings.instances.keep_alive) > kKeepsItself;
-    if (pair.shared) pair.copies = std::max(pair.copies, 1);
+    f.pairs[id].target = static_cast<int>(copies);
   }
 
   // A long life meets many workers and functions: what is long gone and nothing open can name is dropped.
@@ -479,7 +446,6 @@
     for (auto& [id, f] : functions) {
       for (auto& [wid, pair] : f.pairs) {
         pair.current = std::exchange(pair.target, 0) > 0;
-        if (std::exchange(pair.shared, false)) pair.seen = now;
       }
       f.calls.memory = memory;
       const double rate = f.calls.per_second(now) * crowd;
@@ -494,7 +460,6 @@
     std::vector<std::pair<WorkerId, Worker*>> fleet;
     for (auto& [id, worker] : workers)
       if (ready(worker) && !worker.suspect) {
-        worker.strain = 1 + (worker.strain - 1) * std::exp(-seconds(kReplanEvery) / seconds(kStrainMemory));
         fleet.emplace_back(id, &worker);
         share += pace(worker);
       }
@@ -506,42 +471,30 @@
                           ? std::max(1.0, size / (sizes_sum / static_cast<double>(wanted.size())))
                           : static_cast<double>(wanted.size());
     }
-    const double mean_flow = kFlowHeadroom * total / std::max<double>(1, static_cast<double>(fleet.size()));
-    for (Function* f : wanted)
-      f->homes = !one_of_many()
-                     ? 1
-                     : kHomes + static_cast<std::size_t>(kHomesPerNeed * f->flow / std::max(mean_flow, 1e-9));
     std::stable_sort(wanted.begin(), wanted.end(), [](auto* a, auto* b) { return a->flow > b->flow; });
     for (Function* f : wanted)  // current pairs that still get flow are kept first
       for (auto& [id, pair] : f->pairs) {
-        const auto at = std::find_if(fleet.begin(), fleet.end(), [&](auto& w) { return w.first == id; });
-        if (pair.current && at != fleet.end() && at->second->strain < kSlow && f->flow > 0 &&
-            at->second->flow > 0 && at->second->slots >= 1)
-          match(*f, id, *at->second);
+        Worker& worker = workers[id];
+        if (pair.current && ready(worker) && !worker.suspect && f->flow > 0 && worker.flow > 0 &&
+            worker.slots >= 1)
+          match(*f, id, worker);
       }
     while (true) {
       const auto f =
           std::max_element(wanted.begin(), wanted.end(), [](auto* a, auto* b) { return a->flow < b->flow; });
       if (f == wanted.end() || (*f)->flow <= 1e-9) break;
       // The paper maximises min(worker flow, function flow): all workers that can take the whole function
-      // tie. Of the first few of these by hash the one with most flow left takes it, so that front ends
-      // share copies without talking. A hot function has more of them than it needs: front ends differ in
-      // what they take for its flow, and would all call the first.
-      std::vector<const std::pair<WorkerId, Worker*>*> fit;
+      // tie. Ties go to the first by hash, so that front ends share copies without talking.
+      const std::pair<WorkerId, Worker*>* best = nullptr;
+      auto rank = [&](const std::pair<WorkerId, Worker*>& w) {
+        return std::tuple(std::min(w.second->flow, (*f)->flow), affinity((*f)->id, w.first));
+      };
       for (const auto& w : fleet) {
         if (w.second->slots < 1 || w.second->flow <= 1e-9) continue;
         const auto p = (*f)->pairs.find(w.first);
         if (p != (*f)->pairs.end() && (p->second.target > 0 || p->second.full_until > now)) continue;
-        fit.push_back(&w);
+        if (!best || rank(w) > rank(*best)) best = &w;
       }
-      auto takes = [&](auto* w) { return std::min(w->second->flow, (*f)->flow); };
-      auto hash = [&](auto* w) { return affinity((*f)->id, w->first); };
-      std::sort(fit.begin(), fit.end(), [&](auto* a, auto* b) {
-        return std::tuple(takes(a), hash(a)) > std::tuple(takes(b), hash(b));
-      });
-      const std::pair<WorkerId, Worker*>* best = nullptr;
-      for (auto* w : std::span(fit).first(std::min(fit.size(), (*f)->homes)))
-        if (!best || (takes(w) >= takes(best) && w->second->flow > best->second->flow)) best = w;
       if (best)
         match(**f, best->first, *best->second);
       else
@@ -558,7 +511,7 @@
         if (pair.target <= 0 || !workers[id].known) continue;
         const bool stands = believed_warm(pair) && pair.copies >= pair.target;
         const bool ageing = now - pair.seen > from_seconds(kRenewAt * seconds(settings.instances.keep_alive));
-        const bool wanted_now = !stands || (ageing && pair.in_flight == 0 && !pair.shared);
+        const bool wanted_now = !stands || (ageing && pair.in_flight == 0);
         if (wanted_now && random.unit() < kOrdersShared / crowd) order(*f, id, pair.target, false);
       }
     for (auto& [fid, f] : functions)
@@ -611,7 +564,7 @@
       return;
     }
     if (result.outcome == Outcome::kTimeout) return;
-    hear(result.worker, {});
+    w->second.heard = now;
     trust(result.worker, !(believed_warm(pair) && result.instances > 0));
     pair.copies = std::max(0, result.instances);
     if (pair.copies > 0) pair.seen = now, pair.placed = true;
@@ -641,9 +594,7 @@
       if (pair && believed_warm(*pair)) {
         if (pair->in_flight < pair->copies * f.lanes) {
           roomy.push_back(id);
-          if (!(worker.queueing && now - worker.reported < kReportFresh) &&
-              worker.strain * worker.slowness < kSlow)
-            calm.push_back(id);
+          if (worker.slowness < kSlow) calm.push_back(id);
         }
       }
       const bool waits =
@@ -694,7 +645,6 @@
       const bool hopeless = now - o.arrived > patience && may_refuse(o);
       if (!may_attempt(o) || hopeless || o.request.deadline - now <= kHoldBack + settings.tick)
         return settle(o);
-      if (!o.over_share && fleet_is_short()) pressed = now;
       start_sweep();
     }
   }
@@ -711,7 +661,7 @@
     const Duration left = std::max<Duration>(0ns, request.deadline - now);
     sink.wake(left, kDeadlineTokens | static_cast<std::uint32_t>(request.id));
     o.over_share = over_share(request);
-    if (o.over_share && pressed && now - *pressed < kPressedFor && may_refuse(o)) settle(o);
+    if (o.over_share && fleet_is_short() && may_refuse(o)) settle(o);
     place(o);
     discard(it);
   }
@@ -757,17 +707,14 @@
     const bool spoke = r.outcome == Outcome::kOk || r.outcome == Outcome::kError ||
                        r.outcome == Outcome::kFull || r.outcome == Outcome::kMiss;
     if (spoke) {
-      hear(a.worker, r.report);
+      worker.heard = now;
       trust(a.worker, false);
     }
     switch (r.outcome) {
       case Outcome::kOk: served(f, pair, worker, a, r); break;
       // A refusal may be meant for one function, class or tenant only, though there is room for others.
       case Outcome::kFull: pair.full_until = now + rest(kFullRest); break;
-      case Outcome::kTimeout:
-        strained(worker, true);
-        worker.full_until = std::max(worker.full_until, now + rest(0ns));
-        break;
+      case Outcome::kTimeout: worker.full_until = std::max(worker.full_until, now + rest(0ns)); break;
       case Outcome::kMiss:
         if (a.warm) saw_cold(f, a.worker, a.sent);
         pair.copies = 0;
@@ -799,7 +746,6 @@
     if (!loaded) return;
     const double took = seconds(r.took);
     const bool late = took > kLateAt * seconds(settings.classes[f.request_class].target);
-    strained(worker, late);
     if (late)
       worker.full_until = std::max(worker.full_until, now + rest(0ns)), cut(worker, kCutLate);
     else if (worker.in_flight + 2 > worker.limit * kNearLimit)
@@ -810,14 +756,6 @@
     f.run_s.add(took, class_run_s[f.request_class].value);
   }
 
-  // Evidence of a jam moves the plan away from a worker; the fewer answers a front end has from each worker,
-  // the more one of them counts.
-  void strained(Worker& worker, bool bad) {
-    const double answers = requests.per_second(now) * seconds(kStrainMemory) / ready_count;
-    const double step = 1 + kStrainStep / (1 + answers);
-    worker.strain = std::clamp(worker.strain * (bad ? step : std::pow(step, -kStrainBack)), 1.0, kMostStrain);
-  }
-
   // For as long as the worker would else get a part of a call from here: a front end with few calls has no
   // other way to send less, and one with many goes by its limit.
   Duration rest(Duration least) {
@@ -829,8 +767,6 @@
   // traffic, a slow core, loads, or other front ends. Fewer own calls there then keep answers in time, and
   // the rest waits here, where it can still be refused. May hurt where calls are long by nature.
   void cut(Worker& worker, double by) {
-    if (now - worker.cut_at < kCutEvery) return;
-    worker.cut_at = now;
     worker.limit = std::max(1.0, std::min(worker.limit, worker.in_flight + 1.0) * by);
   }
 
@@ -848,7 +784,7 @@
 
   void probe_answered(const ProbeResult& result) {
     if (!workers.contains(result.worker) || result.outcome != Outcome::kOk) return;
-    hear(result.worker, result.report);
+    workers[result.worker].heard = now;
     trust(result.worker, true);
   }
 
@@ -895,12 +831,12 @@
     }
     std::vector<RequestId> again;
     for (auto& [id, o] : open)
-      if (!o.answered && !o.streaming && o.out > 0 &&
+      if (!o.answered && !o.streaming && o.out > 0 && class_of(o.request).semantics != Semantics::kOnce &&
           std::all_of(o.attempts.begin(), o.attempts.end(),
                       [&](auto& a) { return a.fate != Fate::kOut || workers[a.worker].suspect; }))
         again.push_back(id);
     for (RequestId id : again)
-      if (auto it = open.find(id); it != open.end()) retry_elsewhere(it->second);
+      if (auto it = open.find(id); it != open.end()) cancel_rest(it->second);
     if (held) release_held();
     if (!open.empty() || any_suspect) start_sweep();
   }
@@ -926,12 +862,6 @@
       worker.suspect = false;  // no way to ask: the next request tries
   }
 
-  void retry_elsewhere(Open& o) {
-    if (class_of(o.request).semantics == Semantics::kOnce) return;  // may have run: it waits
-    if (!settings.bounds.may_duplicate) return cancel_rest(o);
-    if (o.out < 2) place(o);
-  }
-
   void cancel_rest(Open& o) {
     if (!settings.bounds.may_cancel || o.streaming) return;
     for (std::size_t i = 0; i < o.attempts.size(); ++i)
