--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -3,8 +3,6 @@
 // The ordinary path is that of "Optimal Content Replication and Request Matching in Large Caching
 // Systems": a greedy matching of functions' flow to workers' flow and slots sets targets (sections IV, V),
 // and each request goes to a uniformly random warm worker with room (Random Available Server).
-// Sections: tuned values, state, membership, demand, beliefs, greedy plan, orders, routing, attempts,
-// rules.
 
 #include <algorithm>
 #include <array>
@@ -54,7 +52,6 @@
 constexpr double kSlow = 2.5;              // strain from which a worker comes after others
 constexpr double kColdLimit = 0.6;         // part of the fall multiple ever used: others are unseen
 constexpr double kLateAt = 0.5;            // share of the aim after which an answer tells of a queue
-constexpr double kNearLimit = 0.8;         // share of the limit in use from which answers in time raise it
 constexpr double kCutLate = 0.9;           // a late answer's cut of the limit: some are late by nature
 constexpr double kWaitShare = 0.4;         // share of the aim for which a request waits here for room
 constexpr double kShareBurst = 1.0;        // seconds of its share that a tenant may ask at once
@@ -300,11 +297,7 @@
   void learn_function(const Request& r) {
     auto [it, fresh] = functions.try_emplace(r.function);
     Function& f = it->second;
-    if (fresh) {
-      f.id = r.function;
-      f.calls.at = now;
-      f.calls.since = start;
-    }
+    if (fresh) f.id = r.function, f.calls.at = now, f.calls.since = start;
     f.request_class = r.request_class;
     f.needed = std::max(f.needed, r.deadline);
     f.lanes = std::max(1.0, std::floor(sane(r.lanes, 1)));
@@ -318,9 +311,9 @@
     }
   }
 
-  // What a tenant asks beyond its share of this front end's part is worth little. The part is this front
-  // end's rate among those that peers tell; unheard, an equal one, but never so that own traffic alone,
-  // which may be most of all, counts as mostly over.
+  // What a tenant asks beyond its share is worth little. This front end's part of a share is its part of all
+  // calls as told by peers; unheard, an equal one, but never so that own traffic, which may be most of all,
+  // counts as mostly over.
   bool over_share(const Request& r) {
     requests.add(now, 1);
     if (!r.tenant || *r.tenant >= shares.size() || settings.over_share_worth >= 1) return false;
@@ -360,9 +353,6 @@
                                       : 1 + others / static_cast<double>(peers.size()) * (count - 1) / own;
   }
 
-  // Its own calls are a small part: what it sees of a worker or a function is mostly the doing of others.
-  bool one_of_many() const { return crowd > kMany; }
-
   void peer_told(const PeerMessage& message) {
     if (message.bytes.size() != sizeof(std::uint32_t)) return;
     std::uint32_t rate = 0;
@@ -389,9 +379,8 @@
   // A copy believed warm was not there. Eviction and a new release look alike from here: both void what is
   // believed elsewhere. Also guards against others' releases; may hurt where workers evict often.
   void saw_cold(Function& f, WorkerId at, Time sent) {
-    for (auto& [id, p] : f.pairs) {
+    for (auto& [id, p] : f.pairs)
       if (id == at || (p.seen <= sent && !p.in_flight)) p.copies = 0;
-    }
   }
 
   void suspect(WorkerId id, const char* why) {
@@ -444,9 +433,7 @@
     double total = 0, calls = 0, sizes_sum = 0, share = 0;
     std::vector<Function*> wanted;
     for (auto& [id, f] : functions) {
-      for (auto& [wid, pair] : f.pairs) {
-        pair.current = std::exchange(pair.target, 0) > 0;
-      }
+      for (auto& [wid, pair] : f.pairs) pair.current = std::exchange(pair.target, 0) > 0;
       f.calls.memory = memory;
       const double rate = f.calls.per_second(now) * crowd;
       f.flow = rate * work_seconds(f);
@@ -583,7 +570,7 @@
   }
 
   std::optional<WorkerId> choose(const Open& o, Function& f, bool suspects_too) {
-    std::vector<WorkerId> roomy, calm;
+    std::vector<WorkerId> calm, roomy;  // warm with a free lane; the slow ones apart
     std::optional<WorkerId> target, hashed;
     int target_load = 0;
     for (auto& [id, worker] : workers) {
@@ -591,12 +578,8 @@
       if (!may_send(o, worker)) continue;
       const auto it = f.pairs.find(id);
       Pair* pair = it == f.pairs.end() ? nullptr : &it->second;
-      if (pair && believed_warm(*pair)) {
-        if (pair->in_flight < pair->copies * f.lanes) {
-          roomy.push_back(id);
-          if (worker.slowness < kSlow) calm.push_back(id);
-        }
-      }
+      if (pair && believed_warm(*pair) && pair->in_flight < pair->copies * f.lanes)
+        (worker.slowness < kSlow ? calm : roomy).push_back(id);
       const bool waits =
           settings.instances.on_miss == MissMode::kMiss && pair && !believed_warm(*pair) && loading(*pair);
       if (pair && (pair->target > 0 || believed_warm(*pair)) && !waits &&
@@ -611,7 +594,7 @@
     if (target) return target;
     // With a place that soon has it, or with the whole fleet short, the request waits here for room: one more
     // load elsewhere would add to the jam that it flees from. So it does where it would only find a miss.
-    const bool stay = settings.instances.on_miss == MissMode::kMiss || !one_of_many() || fleet_is_short();
+    const bool stay = settings.instances.on_miss == MissMode::kMiss || crowd <= kMany || fleet_is_short();
     const bool placed = std::any_of(f.pairs.begin(), f.pairs.end(), [&](auto& p) {
       const Worker& worker = workers[p.first];
       const bool coming =
@@ -704,17 +687,14 @@
     const bool proof = r.outcome == Outcome::kFull || r.outcome == Outcome::kConnectFailed ||
                        r.outcome == Outcome::kMoot || r.outcome == Outcome::kMiss;
     a.fate = proof ? Fate::kNeverRan : Fate::kMayHaveRun;
-    const bool spoke = r.outcome == Outcome::kOk || r.outcome == Outcome::kError ||
-                       r.outcome == Outcome::kFull || r.outcome == Outcome::kMiss;
-    if (spoke) {
-      worker.heard = now;
-      trust(a.worker, false);
-    }
+    if (r.outcome == Outcome::kOk || r.outcome == Outcome::kError || r.outcome == Outcome::kFull ||
+        r.outcome == Outcome::kMiss)
+      worker.heard = now, trust(a.worker, false);
     switch (r.outcome) {
       case Outcome::kOk: served(f, pair, worker, a, r); break;
       // A refusal may be meant for one function, class or tenant only, though there is room for others.
       case Outcome::kFull: pair.full_until = now + rest(kFullRest); break;
-      case Outcome::kTimeout: worker.full_until = std::max(worker.full_until, now + rest(0ns)); break;
+      case Outcome::kTimeout: jammed(worker); break;
       case Outcome::kMiss:
         if (a.warm) saw_cold(f, a.worker, a.sent);
         pair.copies = 0;
@@ -747,8 +727,8 @@
     const double took = seconds(r.took);
     const bool late = took > kLateAt * seconds(settings.classes[f.request_class].target);
     if (late)
-      worker.full_until = std::max(worker.full_until, now + rest(0ns)), cut(worker, kCutLate);
-    else if (worker.in_flight + 2 > worker.limit * kNearLimit)
+      jammed(worker);
+    else
       worker.limit += 1 / worker.limit;
     if (f.run_s.value > 0)
       worker.slowness += kRecent * (std::clamp(took / f.run_s.value, 0.1, 10.0) - worker.slowness);
@@ -756,20 +736,21 @@
     f.run_s.add(took, class_run_s[f.request_class].value);
   }
 
-  // For as long as the worker would else get a part of a call from here: a front end with few calls has no
-  // other way to send less, and one with many goes by its limit.
+  // Late answers and time-outs tell of a queue at the worker, whatever made it: too much traffic, a slow
+  // core, loads, or other front ends. Fewer own calls there then keep answers in time, and the rest waits
+  // here, where it can still be refused. May hurt where calls are long by nature.
+  void jammed(Worker& worker) {
+    worker.limit = std::max(1.0, std::min(worker.limit, worker.in_flight + 1.0) * kCutLate);
+    worker.full_until = std::max(worker.full_until, now + rest(0ns));
+  }
+
+  // As long as the place would else get a part of a call from here: a front end with few calls has no other
+  // way to send less, and one with many goes by its limit.
   Duration rest(Duration least) {
     const double usual = kRestCalls * ready_count / std::max(requests.per_second(now), 1e-9);
     return jittered(std::clamp(from_seconds(std::min(usual, seconds(kLongestRest))), least, kLongestRest));
   }
 
-  // Late answers, refusals and time-outs all tell of a queue at the worker, whatever made it: too much
-  // traffic, a slow core, loads, or other front ends. Fewer own calls there then keep answers in time, and
-  // the rest waits here, where it can still be refused. May hurt where calls are long by nature.
-  void cut(Worker& worker, double by) {
-    worker.limit = std::max(1.0, std::min(worker.limit, worker.in_flight + 1.0) * by);
-  }
-
   void streams(RequestId id) {
     if (auto it = open.find(id); it != open.end()) it->second.streaming = true;
   }
