--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -53,6 +53,7 @@
 constexpr double kColdLimit = 0.6;         // part of the fall multiple ever used: others are unseen
 constexpr double kLateAt = 0.5;            // share of the aim after which an answer tells of a queue
 constexpr double kCutLate = 0.9;           // a late answer's cut of the limit: some are late by nature
+constexpr Duration kCutEvery = 100ms;      // one cut for answers that tell of the same queue
 constexpr double kWaitShare = 0.4;         // share of the aim for which a request waits here for room
 constexpr double kShareBurst = 1.0;        // seconds of its share that a tenant may ask at once
 constexpr double kUnheardPart = 0.8;       // share of own traffic that is surely within shares, unheard
@@ -61,8 +62,6 @@
 constexpr Duration kHoldBack = 40ms;       // a request that nothing can serve is answered this early
 constexpr int kMostInstances = 16;         // that one order may name
 
-constexpr double kNoLimit = 1e9;  // until a worker first shows a queue
-
 constexpr TimerToken kReplanToken = 1, kSweepToken = 2, kListToken = 3, kDeadlineTokens = 1ULL << 32;
 
 std::uint64_t mix(std::uint64_t x) {
@@ -161,8 +160,9 @@
   Time credit_at{};
   double slowness = 1;  // answer time over what the function usually takes
   Time full_until{};
-  double limit = kNoLimit;  // own calls in flight that it bears without a queue, learnt from answers
-  double flow = 0;          // during a plan
+  Time cut_at{};
+  double limit = 1e9;  // own calls in flight that it bears without a queue, learnt from answers
+  double flow = 0;     // during a plan
   double slots = 0;
 };
 
@@ -264,11 +264,9 @@
 
   // A restart empties a worker: nothing believed of it holds any more.
   void forget_worker(WorkerId id) {
-    for (auto& [fid, function] : functions)
-      if (auto it = function.pairs.find(id); it != function.pairs.end()) {
-        it->second.copies = it->second.ordered = 0;
-        it->second.placed = false;
-      }
+    for (auto& [fid, f] : functions)
+      if (auto p = f.pairs.find(id); p != f.pairs.end())
+        p->second.copies = p->second.ordered = 0, p->second.placed = false;
   }
 
   // Share of its capacity that a worker surely has: a straight line from the cold share to the whole.
@@ -290,9 +288,7 @@
   }
 
   // What a call costs its worker: as hints say, which no queue lengthens, else as answers took.
-  double work_seconds(const Function& f) const {
-    return f.work_s.value > 0 ? f.work_s.value : run_seconds(f);
-  }
+  double work_of(const Function& f) const { return f.work_s.value > 0 ? f.work_s.value : run_seconds(f); }
 
   void learn_function(const Request& r) {
     auto [it, fresh] = functions.try_emplace(r.function);
@@ -436,7 +432,7 @@
       for (auto& [wid, pair] : f.pairs) pair.current = std::exchange(pair.target, 0) > 0;
       f.calls.memory = memory;
       const double rate = f.calls.per_second(now) * crowd;
-      f.flow = rate * work_seconds(f);
+      f.flow = rate * work_of(f);
       total += f.flow;
       calls += f.calls.mass;
       if (f.flow <= 0 || rate * seconds(settings.instances.keep_alive) < kCallsToHold) continue;
@@ -508,8 +504,7 @@
             pair.placed && pair.unpaired >= kReplansToDrop && believed_warm(pair) && !pair.in_flight;
         if (!drop || settings.instances.idle_memory_cost <= 0 || !ready(workers[id])) continue;
         sink.release(id, fid);
-        pair.copies = 0;
-        pair.placed = false;
+        pair.copies = 0, pair.placed = false;
       }
   }
 
@@ -547,8 +542,7 @@
     pair.ordered = 0;
     if (result.outcome == Outcome::kConnectFailed || result.outcome == Outcome::kReset) {
       pair.copies = 0;
-      suspect(result.worker, "order not delivered");
-      return;
+      return suspect(result.worker, "order not delivered");
     }
     if (result.outcome == Outcome::kTimeout) return;
     w->second.heard = now;
@@ -583,10 +577,8 @@
       const bool waits =
           settings.instances.on_miss == MissMode::kMiss && pair && !believed_warm(*pair) && loading(*pair);
       if (pair && (pair->target > 0 || believed_warm(*pair)) && !waits &&
-          (!target || pair->in_flight < target_load)) {
-        target = id;
-        target_load = pair->in_flight;
-      }
+          (!target || pair->in_flight < target_load))
+        target = id, target_load = pair->in_flight;
       if (!waits && (!hashed || affinity(f.id, id) > affinity(f.id, *hashed))) hashed = id;
     }
     if (!calm.empty()) return calm[random.below(calm.size())];
@@ -607,9 +599,9 @@
 
   // Most workers have no room: the whole fleet is short, not just the places of one function.
   bool fleet_is_short() const {
-    long ready_count = 0, room = 0;
+    double room = 0;
     for (const auto& [id, w] : workers)
-      if (ready(w)) ++ready_count, room += !w.suspect && w.full_until <= now && w.in_flight < w.limit;
+      room += ready(w) && !w.suspect && w.full_until <= now && w.in_flight < w.limit;
     return 2 * room < ready_count;
   }
 
@@ -725,8 +717,7 @@
     pair.seen = now;
     if (!loaded) return;
     const double took = seconds(r.took);
-    const bool late = took > kLateAt * seconds(settings.classes[f.request_class].target);
-    if (late)
+    if (took > kLateAt * seconds(settings.classes[f.request_class].target))
       jammed(worker);
     else
       worker.limit += 1 / worker.limit;
@@ -740,6 +731,8 @@
   // core, loads, or other front ends. Fewer own calls there then keep answers in time, and the rest waits
   // here, where it can still be refused. May hurt where calls are long by nature.
   void jammed(Worker& worker) {
+    if (now - worker.cut_at < kCutEvery) return;
+    worker.cut_at = now;
     worker.limit = std::max(1.0, std::min(worker.limit, worker.in_flight + 1.0) * kCutLate);
     worker.full_until = std::max(worker.full_until, now + rest(0ns));
   }
@@ -810,14 +803,11 @@
       else if (silent && now - worker.asked > kAskWait)
         suspect(id, "silent");
     }
-    std::vector<RequestId> again;
-    for (auto& [id, o] : open)
-      if (!o.answered && !o.streaming && o.out > 0 && class_of(o.request).semantics != Semantics::kOnce &&
+    for (auto& [id, o] : open)  // what may have run and may not run twice waits
+      if (!o.answered && class_of(o.request).semantics != Semantics::kOnce &&
           std::all_of(o.attempts.begin(), o.attempts.end(),
                       [&](auto& a) { return a.fate != Fate::kOut || workers[a.worker].suspect; }))
-        again.push_back(id);
-    for (RequestId id : again)
-      if (auto it = open.find(id); it != open.end()) cancel_rest(it->second);
+        cancel_rest(o);
     if (held) release_held();
     if (!open.empty() || any_suspect) start_sweep();
   }
@@ -860,8 +850,7 @@
   bool may_attempt(const Open& o) const {
     if (o.attempts.size() >= static_cast<std::size_t>(std::max(1, settings.bounds.attempts_cap)))
       return false;
-    if (o.out > 0 && !settings.bounds.may_duplicate) return false;
-    if (now >= o.request.deadline) return false;
+    if (o.out > 0 || now >= o.request.deadline) return false;  // one attempt at a time
     return never_ran(o) || class_of(o.request).semantics != Semantics::kOnce;
   }
 
