Few front ends may use more of the fall multiple than many

With many front ends single calls come together by chance, so these stay at 0.4. The tests' count of live blocks also covers what the sanitizers pair.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -50,7 +50,8 @@
 constexpr double kRunRecent = 0.05;        // least weight of a new sample in mean run times
 constexpr double kUsualCounts = 3;         // samples for which the class's mean counts in a function's
 constexpr double kSlow = 2.5;              // strain from which a worker comes after others
-constexpr double kColdLimit = 0.4;         // part of the fall multiple ever used: others are unseen
+constexpr double kColdLimit = 0.6;         // part of the fall multiple ever used: others are unseen
+constexpr double kColdLimitOfMany = 0.4;   // single calls of many come together by chance
 constexpr double kLateAt = 0.5;            // share of the aim after which an answer tells of a queue
 constexpr double kCutLate = 0.9;           // a late answer's cut of the limit: some are late by nature
 constexpr Duration kCutEvery = 100ms;      // one cut for answers that tell of the same queue
@@ -341,10 +342,9 @@
     requests.memory = served_weight.memory = memory;
     double others = 0;
     std::erase_if(peers, [&](auto& told) { return now - told.second.first >= kPeerStands; });
-    for (const auto& [peer, told] : peers) others += told.second;
+    for (const auto& [peer, told] : peers) others += told.second / static_cast<double>(peers.size());
     const double count = std::max(1U, settings.replicas);
-    crowd = peers.empty() || own <= 0 ? count
-                                      : 1 + others / static_cast<double>(peers.size()) * (count - 1) / own;
+    crowd = peers.empty() || own <= 0 ? count : 1 + others * (count - 1) / own;
   }
 
   void peer_told(const PeerMessage& message) {
@@ -888,7 +888,7 @@
   bool cold_budget(Worker& worker, double w) {
     const double share = warmth(worker);
     if (share >= 1) return true;
-    const double limit = kColdLimit * settings.rules.fall_multiple;
+    const double limit = (crowd > kMany ? kColdLimitOfMany : kColdLimit) * settings.rules.fall_multiple;
     const double rate = served_weight.per_second(now) / ready_count * share * limit;
     const double most = std::max(w * 1.001, rate * seconds(settings.rules.overload_for));
     worker.credit = std::min(most, worker.credit + rate * seconds(now - worker.credit_at));
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -18,11 +18,16 @@
   if (void* p = std::malloc(size)) return p;
   throw std::bad_alloc();
 }
+void* operator new(std::size_t size, const std::nothrow_t&) noexcept {
+  ++live_blocks;
+  return std::malloc(size);
+}
 [[gnu::noinline]] void operator delete(void* p) noexcept {
   live_blocks -= p != nullptr;
   std::free(p);
 }
 void operator delete(void* p, std::size_t) noexcept { operator delete(p); }
+void operator delete(void* p, const std::nothrow_t&) noexcept { operator delete(p); }
 
 namespace laureltide::test {
 namespace {
