--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -49,7 +49,7 @@
 constexpr double kRecent = 0.15;           // weight of a new sample in a worker's slowness
 constexpr double kRunRecent = 0.05;        // least weight of a new sample in mean run times
 constexpr double kUsualCounts = 3;         // samples for which the class's mean counts in a function's
-constexpr double kSlow = 2.5;              // strain from which a worker comes after others
+constexpr double kSlow = 2.5;              // answer time over the usual, from which a worker comes after others
 constexpr double kColdLimit = 0.6;         // part of the fall multiple ever used: others are unseen
 constexpr double kColdLimitOfMany = 0.4;   // single calls of many come together by chance
 constexpr double kLateAt = 0.5;            // share of the aim after which an answer tells of a queue
@@ -275,7 +275,7 @@
     return age >= 1 ? 1 : settings.rules.cold_from + (1 - settings.rules.cold_from) * std::max(age, 0.0);
   }
 
-  // Its part of the plan: what is cold, slow or jammed has full lanes on paper only.
+  // Its part of the plan: what is cold or slow has full lanes on paper only.
   double pace(const Worker& w) const { return warmth(w) / std::max(1.0, w.slowness); }
 
   // ---- Demand -----------------------------------------------------------------------------------
