--- a/src/apps/laureltide.cpp
+++ b/src/apps/laureltide.cpp
@@ -15,8 +15,10 @@
 #include <sstream>
 #include <thread>
 
+#include "apps/ledger_tool.h"
 #include "config/settings.h"
 #include "controller/gateway.h"
+#include "ledger/lmdb.h"
 #include "net/loop.h"
 
 namespace lt = laureltide;
@@ -71,9 +73,25 @@
 
 spdlog::level::level_enum level_of(const std::string& name) { return spdlog::level::from_str(name); }
 
+lt::ledger::LmdbOptions lmdb_options(const lt::config::Ledger& ledger) {
+  using Sync = lt::ledger::LmdbOptions::Sync;
+  lt::ledger::LmdbOptions o;
+  o.directory = ledger.directory, o.most_mb = ledger.most_mb, o.gather = ledger.gather;
+  o.sync = ledger.sync == lt::config::LedgerSync::kEach   ? Sync::kEach
+           : ledger.sync == lt::config::LedgerSync::kNone ? Sync::kNone
+                                                          : Sync::kGroup;
+  return o;
+}
+
+// For tests: the process kills itself the n-th time that the ledger passes a step, as a crash there would.
+struct DieAt {
+  std::string step;
+  int times = 1;
+};
+
 class Program : public lt::controller::GatewayEvents {
  public:
-  Program(std::string file, lt::config::Settings settings, std::uint64_t seed)
+  Program(std::string file, lt::config::Settings settings, std::uint64_t seed, DieAt die_at)
       : file_(std::move(file)),
         settings_(std::make_shared<lt::config::Settings>(std::move(settings))),
         loop_({settings_->gateway.loopback_only}),
@@ -83,7 +101,9 @@
     spdlog::set_pattern(json_ ? "%v" : "%Y-%m-%dT%H:%M:%S.%e %l %v");
     if (seed == 0) seed = loop_.random();
     if (!settings_->list.cache.empty()) keeper_ = std::make_unique<Keeper>(settings_->list.cache);
-    gateway_ = std::make_unique<lt::controller::Gateway>(loop_, settings_, *this, seed);
+    if (!settings_->ledger.directory.empty()) open_ledger(std::move(die_at));
+    gateway_ = std::make_unique<lt::controller::Gateway>(loop_, settings_, *this, seed, 1,
+                                                         book_ ? book_.get() : nullptr);
     poll_ = loop_.timer([this] { poll_list(); });
   }
 
@@ -144,6 +164,28 @@
   }
 
  private:
+  void open_ledger(DieAt die_at) {
+    const auto began = loop_.now();
+    auto opened = lt::ledger::open_lmdb(lmdb_options(settings_->ledger),
+                                        [this](std::function<void()> what) { loop_.post(std::move(what)); });
+    if (!opened.store) throw std::runtime_error(opened.why);
+    store_ = std::move(opened.store);
+    lt::ledger::BookOptions options;
+    options.most_records = settings_->ledger.most_records;
+    options.most_bytes = settings_->ledger.most_mb << 20;
+    options.keep = settings_->ledger.keep;
+    book_ = std::make_unique<lt::ledger::Book>(loop_, *store_, options);
+    if (const auto why = book_->load())
+      throw std::runtime_error("the ledger in " + settings_->ledger.directory + " cannot be used: " + *why);
+    const double ms = std::chrono::duration<double, std::milli>(loop_.now() - began).count();
+    on_line(lt::controller::LogLevel::kInfo, "ledger: " + std::to_string(book_->records()) +
+                                                 " records read in " + std::to_string(static_cast<int>(ms)) +
+                                                 " ms");
+    if (!die_at.step.empty())
+      book_->on_step = [die_at](const char* step) mutable {
+        if (die_at.step == step && --die_at.times == 0) raise(SIGKILL);
+      };
+  }
   void stop() {
     if (stopping_++ > 0) return loop_.stop();  // asked twice: at once
     gateway_->drain([this](bool all) {
@@ -177,6 +219,8 @@
   lt::net::Loop loop_;
   bool json_;
   std::unique_ptr<Keeper> keeper_;
+  std::unique_ptr<lt::ledger::Store> store_;
+  std::unique_ptr<lt::ledger::Book> book_;
   std::unique_ptr<lt::controller::Gateway> gateway_;
   std::unique_ptr<lt::io::Timer> poll_;
   std::filesystem::file_time_type list_written_{};
@@ -201,17 +245,31 @@
       "Examples:\n"
       "  laureltide check --config gateway.toml\n"
       "  laureltide serve --config gateway.toml\n"
+      "  laureltide ledger list --open /var/lib/laureltide/ledger\n"
       "Signals to serve: TERM answers all and exits; HUP reads the settings again.");
   std::string file;
   std::uint64_t seed = 0;
   CLI::App* serve = app.add_subcommand("serve", "run the gateway until SIGTERM");
   serve->add_option("-c,--config", file, "settings (TOML)")->required();
   serve->add_option("--seed", seed, "of the module's draws; 0 takes one from the system");
+  std::string die_at;
+  serve
+      ->add_option("--die-at", die_at,
+                   "for tests: STEP or STEP:N, the ledger's step at which the process kills itself")
+      ->check([](const std::string& text) {
+        const std::string step = text.substr(0, text.find(':'));
+        for (const char* known : lt::ledger::kSteps)
+          if (step == known) return std::string();
+        return "no such step: " + step;
+      });
+  lt::apps::LedgerTool ledger;
+  ledger.add_to(app);
   CLI::App* check =
       app.add_subcommand("check", "say every error of a settings file; exit 0 when there is none, else 2");
   check->add_option("-c,--config", file, "settings (TOML)")->required();
   CLI11_PARSE(app, argc, argv);
 
+  if (app.got_subcommand("ledger")) return ledger.run();
   auto settings = load_or_tell(file);
   if (!settings) return kBadSettings;
   if (*check) {
@@ -221,7 +279,10 @@
     return 0;
   }
   try {
-    return Program(file, std::move(*settings), seed).run();
+    DieAt die{die_at.substr(0, die_at.find(':')), 1};
+    if (const auto colon = die_at.find(':'); colon != std::string::npos)
+      die.times = std::max(1, std::atoi(die_at.c_str() + colon + 1));
+    return Program(file, std::move(*settings), seed, std::move(die)).run();
   } catch (const std::exception& e) {
     std::cerr << "laureltide: " << e.what() << '\n';
     return 1;
--- /dev/null
+++ b/src/apps/ledger_tool.cpp
@@ -0,0 +1,127 @@
+#include "apps/ledger_tool.h"
+
+#include <ctime>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "ledger/lmdb.h"
+#include "ledger/record.h"
+
+namespace laureltide::apps {
+namespace {
+
+using ledger::Fate;
+using ledger::Record;
+using nlohmann::json;
+
+std::string time_of(std::int64_t ms) {
+  if (ms <= 0) return "-";
+  const std::time_t s = static_cast<std::time_t>(ms / 1000);
+  std::tm utc{};
+  gmtime_r(&s, &utc);
+  char text[32];
+  std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &utc);
+  return text;
+}
+
+const char* kind_of(const ledger::Answer& a) {
+  return a.kind == ledger::Answer::Kind::kServed    ? "served"
+         : a.kind == ledger::Answer::Kind::kRefused ? "refused"
+                                                    : "failed";
+}
+
+// In the words of docs/ledger.md.
+std::string state_of(const Record& r) {
+  if (r.answer) return std::string(r.delivered ? "delivered " : "answered ") + kind_of(*r.answer);
+  if (r.may_have_run()) return "may-have-run";
+  return r.attempts.empty() ? "taken" : "never-ran";
+}
+
+json json_of(const std::string& front, const std::string& name, const Record& r) {
+  json attempts = json::array();
+  for (const auto& a : r.attempts)
+    attempts.push_back({{"worker", a.worker},
+                        {"sent_ms", a.sent_ms},
+                        {"fate", a.fate == Fate::kNeverRan ? "never-ran" : "may-have-run"}});
+  json doc{{"front", front},
+           {"call", name},
+           {"state", state_of(r)},
+           {"function", r.function},
+           {"tenant", r.tenant},
+           {"key", r.key},
+           {"owed", r.owed},
+           {"taken_ms", r.taken_ms},
+           {"give_up_ms", r.give_up_ms},
+           {"body_bytes", r.body.size()},
+           {"attempts", attempts}};
+  if (r.answer)
+    doc["answer"] = {{"outcome", kind_of(*r.answer)},
+                     {"reason", r.answer->reason},
+                     {"bytes", r.answer->body.size()},
+                     {"at_ms", r.answer->at_ms}};
+  if (r.keep_until_ms > 0) doc["kept_until_ms"] = r.keep_until_ms;
+  return doc;
+}
+
+std::string dump(const json& doc, int indent) {
+  return doc.dump(indent, ' ', false, json::error_handler_t::replace);
+}
+
+}  // namespace
+
+void LedgerTool::add_to(CLI::App& app) {
+  CLI::App* all = app.add_subcommand("ledger", "look into a ledger's directory, also while it is in use");
+  all->require_subcommand(1);
+  auto sub = [&](const char* what, const char* help) {
+    CLI::App* s = all->add_subcommand(what, help);
+    s->add_option("directory", directory, "as in ledger.directory of the settings")->required();
+    return s;
+  };
+  list = sub("list", "a line for each record");
+  list->add_flag("--open", open_only, "only calls without a final answer");
+  list->add_option("--front", front, "only of fronts that begin so, such as amqp/main/");
+  list->add_flag("--json", json, "lines of JSON");
+  show = sub("show", "all that is known of one call");
+  show->add_option("call", name, "its name")->required();
+  show->add_option("--front", front, "only of fronts that begin so");
+  verify = sub("verify", "read every page and record; exit 1 and say what is wrong if anything is");
+  compact = sub("compact", "write a compact copy into a new directory: a backup, or a smaller ledger");
+  compact->add_option("to", to, "the new directory")->required();
+}
+
+int LedgerTool::run() const {
+  if (*compact) {
+    const std::string why = ledger::copy_compact(directory, to);
+    if (!why.empty()) return std::cerr << "laureltide ledger: " << why << '\n', 1;
+    return std::cout << directory << " copied to " << to << '\n', 0;
+  }
+  std::size_t shown = 0, open = 0;
+  const ledger::Walked walked = ledger::walk(directory, [&](std::string_view key, std::string_view value) {
+    std::string why;
+    const auto record = ledger::parse_record(value, why);
+    const auto [f, n] = ledger::split_key(key);
+    if (!record) return;  // the walk itself tells
+    open += !record->answer;
+    if (!f.starts_with(front)) return;
+    if (*show && n == name) {
+      std::cout << dump(json_of(f, n, *record), 2) << '\n';
+      ++shown;
+    }
+    if (!*list || (open_only && record->answer)) return;
+    ++shown;
+    if (json)
+      std::cout << dump(json_of(f, n, *record), -1) << '\n';
+    else
+      std::cout << time_of(record->taken_ms) << "  " << f << "  " << n << "  " << record->function << "  "
+                << state_of(*record) << (record->owed ? "  owed" : "")
+                << "  attempts=" << record->attempts.size() << '\n';
+  });
+  if (!walked.why.empty()) return std::cerr << "laureltide ledger: " << walked.why << '\n', 1;
+  if (*show && shown == 0) return std::cerr << "laureltide ledger: no record of call " << name << '\n', 1;
+  if (*verify)
+    std::cout << directory << ": " << walked.records << " records (" << open << " without an answer), "
+              << walked.bytes << " bytes in a file of " << walked.file_bytes << ": no damage\n";
+  return 0;
+}
+
+}  // namespace laureltide::apps
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -237,6 +237,21 @@
   out.functions.push_back(std::move(f));
 }
 
+void read_ledger(Section& s, Settings& out) {
+  Ledger& l = out.ledger;
+  l.directory = s.text("directory", "", 4096);
+  l.most_mb = s.whole<std::size_t>("most_mb", l.most_mb, 1, 1 << 20);
+  l.most_records = s.whole<std::size_t>("most_records", l.most_records, 1, 100'000'000);
+  constexpr double kWeek = 7 * 24 * 3600;
+  l.keep = std::chrono::seconds(
+      static_cast<std::int64_t>(s.number("keep_s", std::chrono::duration<double>(l.keep).count(), 1, kWeek)));
+  l.gather = s.ms("gather_ms", l.gather);
+  l.sync =
+      s.choice("sync", l.sync,
+               {{"group", LedgerSync::kGroup}, {"each", LedgerSync::kEach}, {"none", LedgerSync::kNone}});
+  l.all_calls = s.flag("all_calls", l.all_calls);
+}
+
 void read_broker(Section& s, Settings& out) {
   Broker b;
   b.name = s.text("name", "broker-" + std::to_string(out.brokers.size()));
@@ -255,6 +270,13 @@
   b.prefetch = s.whole<std::uint16_t>("prefetch", b.prefetch, 1, 65535);
   b.answers = s.choice("answers", b.answers,
                        {{"transaction", AnswerMode::kTransaction}, {"confirm", AnswerMode::kConfirm}});
+  b.acknowledge = s.choice("acknowledge", b.acknowledge,
+                           {{"answer", AcknowledgeMode::kOnAnswer}, {"take", AcknowledgeMode::kOnTake}});
+  b.sole_reader = s.flag("sole_reader", b.sole_reader);
+  b.tenant = s.text("tenant", b.tenant);
+  if (!b.tenant.empty() && !out.tenant(b.tenant)) s.wrong("tenant", "no such tenant: " + b.tenant);
+  if (b.acknowledge == AcknowledgeMode::kOnTake)
+    b.answers = AnswerMode::kConfirm;  // nothing is left to bind it to
   for (const Broker& other : out.brokers)
     if (other.name == b.name) s.wrong("name", "is given twice: " + b.name);
   out.brokers.push_back(std::move(b));
@@ -326,7 +348,12 @@
     if (out.list.service.has_value() == !out.list.file.empty())
       s.wrong("service", "exactly one of service and file tells where workers are");
   });
+  root.section("ledger", [&](Section& s) { read_ledger(s, out); });
   root.sections("broker", [&](Section& s) { read_broker(s, out); });
+  for (const Broker& b : out.brokers)
+    if (out.ledger.directory.empty() && (b.acknowledge == AcknowledgeMode::kOnTake || b.sole_reader))
+      root.wrong("broker",
+                 b.name + ": acknowledge = \"take\" and sole_reader need a ledger (ledger.directory)");
   root.sections("peer", [&](Section& s) {
     const auto number = s.whole<std::uint32_t>("number", 0, 0, 65535);
     const auto address = s.address("address");
@@ -437,6 +464,7 @@
       std::tie(b.bounds.attempts_cap, b.bounds.may_cancel, b.bounds.may_duplicate, b.bounds.probes,
                b.bounds.max_open, b.bounds.dial_timeout))
     keys.emplace_back("bounds");
+  if (from.ledger != to.ledger) keys.emplace_back("ledger");
   if (from.list.service != to.list.service || from.list.file != to.list.file) keys.emplace_back("list");
   return keys;
 }
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -27,6 +27,11 @@
   kConfirm,      // the acknowledgement follows the broker's confirm of the answer
 };
 
+enum class AcknowledgeMode {
+  kOnAnswer,  // with the answer: a call that is held at a crash is the broker's to give again
+  kOnTake,    // once the ledger has it: from then on it is this gateway's alone, across crashes
+};
+
 struct Broker {
   std::string name;
   io::Address address;
@@ -36,6 +41,10 @@
   std::vector<std::string> queues;
   std::uint16_t prefetch = 256;  // for each queue
   AnswerMode answers = AnswerMode::kTransaction;
+  AcknowledgeMode acknowledge = AcknowledgeMode::kOnAnswer;
+  // The operator's word that no other gateway ever reads these queues; the broker holds others off meanwhile.
+  bool sole_reader = false;
+  std::string tenant;  // of all its calls; empty: as each message says
   bool operator==(const Broker&) const = default;
 };
 
@@ -45,6 +54,18 @@
   Duration poll = std::chrono::milliseconds(200);
 };
 
+enum class LedgerSync { kGroup, kEach, kNone };
+
+struct Ledger {
+  std::string directory;  // empty: no ledger
+  std::size_t most_mb = 4096, most_records = 1'000'000;
+  Duration keep = std::chrono::hours(24);
+  Duration gather = std::chrono::milliseconds(1);
+  LedgerSync sync = LedgerSync::kGroup;
+  bool all_calls = false;  // also those that are safe to repeat
+  bool operator==(const Ledger&) const = default;
+};
+
 enum class LogFormat { kText, kJson };
 
 struct Peer {
@@ -69,6 +90,7 @@
   std::vector<Broker> brokers;
   std::vector<Peer> peers;
   ListSource list;
+  Ledger ledger;
   Gateway gateway;
   LogFormat log_format = LogFormat::kText;
   std::string log_level = "info";
--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -51,11 +51,32 @@
   return "unknown";
 }
 
+ledger::Answer to_ledger(const Answer& answer) {
+  ledger::Answer out;
+  out.kind = answer.kind == Answer::Kind::kServed    ? ledger::Answer::Kind::kServed
+             : answer.kind == Answer::Kind::kRefused ? ledger::Answer::Kind::kRefused
+                                                     : ledger::Answer::Kind::kFailed;
+  out.reason = answer.reason, out.body = answer.body;
+  out.retry_after_ms = std::chrono::duration_cast<std::chrono::milliseconds>(answer.retry_after).count();
+  return out;
+}
+
+Answer from_ledger(const ledger::Answer& answer) {
+  Answer out;
+  out.kind = answer.kind == ledger::Answer::Kind::kServed    ? Answer::Kind::kServed
+             : answer.kind == ledger::Answer::Kind::kRefused ? Answer::Kind::kRefused
+                                                             : Answer::Kind::kFailed;
+  out.reason = answer.reason, out.body = answer.body;
+  out.retry_after = std::chrono::milliseconds(answer.retry_after_ms);
+  return out;
+}
+
 Core::Core(io::Host& host, std::shared_ptr<const config::Settings> settings, CoreEvents& events,
            Options options)
     : host_(host),
       settings_(std::move(settings)),
       events_(events),
+      book_(options.book),
       list_(settings_->kind_names),
       started_unix_ms_(host.unix_ms()),
       wall_offset_(host.now().time_since_epoch() - std::chrono::milliseconds(host.unix_ms())),
@@ -66,7 +87,7 @@
   module_ = std::make_unique<Dispatcher>(settings_->module, options.seed, host.now(), *this);
   inside_ = false;
 }
-Core::~Core() = default;
+Core::~Core() { *alive_ = false; }
 
 // ---- Calls ------------------------------------------------------------------------------------------
 
@@ -161,13 +182,12 @@
   const std::size_t number = open.attempts.size();
   const std::uint64_t word = cookie(id, number);
   const Time now = host_.now();
-  open.attempts.push_back({worker, now, std::nullopt});
+  open.attempts.push_back({worker, now, std::nullopt, std::nullopt, false});
   ++open.out;
   ++counters_.attempts;
   const bool over = open.answered || open.streaming || now >= open.deadline ||
                     number >= static_cast<std::size_t>(settings_->module.bounds.attempts_cap);
-  worker::Link* to = over ? nullptr : link(worker);
-  if (!to) {  // nothing left this process
+  if (over || !link(worker)) {  // nothing left this process
     CallEnd end;
     end.outcome = over ? Outcome::kMoot : Outcome::kConnectFailed;
     behind_.push_back([this, word, end](Time) { end_attempt(word, end); });
@@ -175,6 +195,45 @@
   }
   if (give_up_after > Duration(0) && now + give_up_after < open.deadline)
     alarm(now + give_up_after, Due::kAttempt, word);
+  const bool repeatable =
+      settings_->module.classes[open.call.function->request_class].semantics == Semantics::kRepeatable;
+  if (!book_ || open.call.record.empty() || repeatable) return dispatch(word);
+  // Rule 2 across a crash: the next life must know of it before a worker can.
+  open.attempts[number].waits = true;
+  open.attempts[number].recorded =
+      book_->attempt(open.call.record, static_cast<std::uint32_t>(worker), [this, word, alive = alive_] {
+        if (*alive) dispatch(word);
+      });
+}
+
+// The one place where a call's bytes leave for a worker.
+void Core::dispatch(std::uint64_t word) {
+  const auto id = static_cast<std::uint32_t>(word >> 8);
+  const std::size_t number = word & 0xff;
+  const auto it = open_.find(id);
+  if (it == open_.end() || number >= it->second->attempts.size()) return;
+  Open& open = *it->second;
+  Attempt& attempt = open.attempts[number];
+  if (attempt.outcome) return;  // its time ran out meanwhile
+  const Time now = host_.now();
+  if (attempt.waits) {
+    // What the module decided on was a while ago. A worker that has begun to drain since, or a burst of what
+    // a slow disk held back, would break what the decision kept: nothing left, and the module is told so.
+    const laureltide::Rules& rules = settings_->module.rules;
+    const members::Member* member = list_.find(attempt.worker);
+    const bool ready = member && member->state == WorkerState::kReady;
+    const bool stale = now - attempt.sent > std::min(rules.drain_grace, rules.overload_for) / 2;
+    CallEnd end;
+    end.outcome = open.answered || now >= open.deadline ? Outcome::kMoot : Outcome::kFull;
+    if (end.outcome == Outcome::kMoot || !ready || stale) return end_attempt(word, end);
+    attempt.waits = false;
+  }
+  worker::Link* to = link(attempt.worker);
+  if (!to) {
+    CallEnd end;
+    end.outcome = Outcome::kConnectFailed;
+    return end_attempt(word, end);
+  }
   worker::Call call;
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(open.deadline - now).count();
   call.patience_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(1, left));
@@ -184,6 +243,7 @@
   call.key = open.call.key;
   if (open.call.tenant) call.tenant = settings_->tenant_names[*open.call.tenant];
   to->call(std::move(call), open.call.body, word);
+  if (attempt.recorded) book_->step("attempt-sent");
 }
 
 void Core::cancel(RequestId request, AttemptNumber attempt) {
@@ -191,6 +251,12 @@
   if (it == open_.end() || attempt >= it->second->attempts.size()) return;
   const Attempt& a = it->second->attempts[attempt];
   if (a.outcome) return;
+  if (a.waits) {  // no byte of it has left, and none will
+    CallEnd end;
+    end.outcome = Outcome::kCancelled;
+    behind_.push_back([this, word = cookie(it->first, attempt), end](Time) { end_attempt(word, end); });
+    return;
+  }
   if (worker::Link* to = link(a.worker)) to->cancel(cookie(it->first, attempt));
 }
 
@@ -205,6 +271,14 @@
   Open& open = *it->second;
   Attempt& attempt = open.attempts[number];
   if (attempt.outcome) return;
+  if (attempt.waits) {  // whatever ended it: it never left
+    if (end.outcome == Outcome::kTimeout) end.outcome = Outcome::kMoot;
+    attempt.waits = false;
+    book_->never_ran(open.call.record, *attempt.recorded);
+  } else if (attempt.recorded && (end.outcome == Outcome::kFull || end.outcome == Outcome::kMiss ||
+                                  end.outcome == Outcome::kConnectFailed || end.outcome == Outcome::kMoot)) {
+    book_->never_ran(open.call.record, *attempt.recorded);
+  }
   attempt.outcome = end.outcome;
   --open.out;
   const bool stream = open.streaming == static_cast<AttemptNumber>(number);
@@ -213,7 +287,7 @@
     answer.kind = Answer::Kind::kServed;
     answer.body = stream || !open.pieces.empty() ? std::move(open.pieces) + end.body : std::move(end.body);
     if (answer.body.size() > settings_->gateway.most_body)
-      answer = {Answer::Kind::kFailed, "the result is longer than the gateway passes on", {}, {}};
+      answer = {Answer::Kind::kFailed, "the result is longer than the gateway passes on", {}, {}, {}};
     finish(open, std::move(answer));
   } else if (stream && !open.answered) {  // bound to this attempt: nothing else can serve it
     finish(open, sorry(open, Answer::Kind::kFailed));
--- a/src/controller/core.h
+++ b/src/controller/core.h
@@ -15,6 +15,7 @@
 
 #include "base/io.h"
 #include "config/settings.h"
+#include "ledger/book.h"
 #include "members/list.h"
 #include "worker/link.h"
 
@@ -27,6 +28,9 @@
   std::string key;
   std::string body;
   std::optional<Duration> patience;  // from now; the class's give-up time where absent or longer than an hour
+  // Its key in the ledger; with one, an attempt of a class that is not safe to repeat is on disk before its
+  // bytes leave. Empty: nothing of it outlives this process.
+  std::string record;
 };
 
 struct Answer {
@@ -34,8 +38,12 @@
   std::string reason;  // in plain words, where not served
   std::string body;
   Duration retry_after{};
+  // The same each time that this answer is given, also by another life; another answer has another.
+  std::string id;
 };
 const char* text_of(Answer::Kind kind);
+ledger::Answer to_ledger(const Answer& answer);
+Answer from_ledger(const ledger::Answer& answer);
 const char* text_of(Outcome outcome);
 
 // Told once for each call, for logs: why it ended as it did.
@@ -68,6 +76,7 @@
   struct Options {
     std::uint64_t seed = 1;
     std::uint32_t first_request = 1;  // ids wrap; a test starts close to the end
+    ledger::Book* book = nullptr;     // outlives the core
   };
   Core(io::Host& host, std::shared_ptr<const config::Settings> settings, CoreEvents& events, Options options);
   ~Core() override;
@@ -115,7 +124,9 @@
   struct Attempt {
     WorkerId worker{};
     Time sent{};
-    std::optional<Outcome> outcome;  // absent: out
+    std::optional<Outcome> outcome;       // absent: out
+    std::optional<std::size_t> recorded;  // its number in the ledger
+    bool waits = false;                   // for the ledger: no byte of it has left
   };
   struct Open {
     Call call;
@@ -159,6 +170,7 @@
   void alarm(Time at, Due what, std::uint64_t token);
   void ring();
   void on_alarm(const Alarm& alarm);
+  void dispatch(std::uint64_t cookie);
   void end_attempt(std::uint64_t cookie, CallEnd end);
   void finish(Open& open, Answer answer);
   void discard(std::uint32_t request);
@@ -170,6 +182,7 @@
   io::Host& host_;
   std::shared_ptr<const config::Settings> settings_;
   CoreEvents& events_;
+  ledger::Book* book_;
   members::List list_;
   std::int64_t started_unix_ms_;
   Duration wall_offset_{};
@@ -187,6 +200,7 @@
   bool inside_ = false;
   std::vector<std::function<void(Time)>> behind_;
   Counters counters_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::unique_ptr<Dispatcher> module_;
 };
 
--- a/src/controller/gateway.cpp
+++ b/src/controller/gateway.cpp
@@ -10,15 +10,18 @@
 constexpr Duration kDrainLook = std::chrono::milliseconds(20);
 
 Gateway::Gateway(io::Host& host, std::shared_ptr<const config::Settings> settings, GatewayEvents& events,
-                 std::uint64_t seed, std::uint32_t first_request)
+                 std::uint64_t seed, std::uint32_t first_request, ledger::Book* book)
     : host_(host),
       settings_(std::move(settings)),
       events_(events),
-      core_(host, settings_, *this, {seed, first_request}),
+      book_(book),
+      core_(host, settings_, *this, {seed, first_request, book}),
       stats_(host.timer([this] { say_stats(); })),
       drain_look_(host.timer([this] { look_at_drain(); })),
       leaving_look_(host.timer([this] { look_at_leaving(); })) {}
-Gateway::~Gateway() = default;
+Gateway::~Gateway() {
+  if (book_) book_->on_state = nullptr;
+}
 
 void Gateway::use_cached_list(std::string_view json) {
   std::string why;
@@ -29,6 +32,11 @@
 }
 
 void Gateway::start() {
+  if (book_)
+    book_->on_state = [this](bool well) {
+      events_.on_line(well ? LogLevel::kInfo : LogLevel::kError,
+                      well ? "ledger: written again" : "ledger: cannot be written: " + book_->trouble());
+    };
   if (settings_->list.service) {
     follower_ = std::make_unique<members::Follower>(
         host_, *settings_->list.service, settings_->gateway.name,
@@ -55,9 +63,11 @@
 
 void Gateway::add_front(const config::Broker& broker) {
   fronts_.push_back(std::make_unique<TriggerFront>(
-      host_, core_, broker, settings_->gateway.name, [this](bool warn, const std::string& line) {
+      host_, core_, broker, settings_->gateway.name,
+      [this](bool warn, const std::string& line) {
         events_.on_line(warn ? LogLevel::kWarn : LogLevel::kInfo, line);
-      }));
+      },
+      book_));
 }
 
 void Gateway::take_list_text(std::string_view json) {
@@ -79,6 +89,7 @@
   merged->module = settings_->module;
   merged->gateway = settings_->gateway;
   merged->list = settings_->list;
+  merged->ledger = settings_->ledger;
   settings_ = merged;
   core_.use(merged);
   for (auto it = fronts_.begin(); it != fronts_.end();) {
--- a/src/controller/intake.h
+++ b/src/controller/intake.h
@@ -10,10 +10,9 @@
 //   acknowledged, unsure |                    |            | the acknowledgement was lost (confirm mode)
 //   answered and         | no                 | any        | run: another message of an old name
 //   acknowledged, unsure |                    |            |
-//   unknown              | no                 | any        | run
-//   unknown              | yes                | repeatable | run
-//   unknown              | yes                | keyed,once | fail: another life may have run it, and nothing
-//                        |                    |            | here proves that it did not (rule 2)
+//   unknown              | any                | any        | as the ledger's record of an earlier life rules
+//                        |                    |            | (ledger/ruling.h); without one: run what was not
+//                        |                    |            | given before or may be repeated, fail the rest
 //
 // A delivery belongs to an epoch, a life of the channel that brought it. When the epoch ends, the broker
 // gives the message again, perhaps to another consumer: an answer leaves only with a delivery that still
@@ -31,6 +30,7 @@
 #include <vector>
 
 #include "controller/core.h"
+#include "ledger/book.h"
 
 namespace laureltide::controller {
 
@@ -45,13 +45,20 @@
     std::size_t most_names = 100'000;
     Duration keep_answers = std::chrono::seconds(120);
     std::size_t most_joined = 16;  // messages that wait for one call; over it: refused
+    ledger::Book* book = nullptr;  // none: nothing is known of earlier lives
+    std::string front;             // this queue's name in the book
   };
-  explicit Intake(Options options) : options_(options) {}
+  explicit Intake(Options options) : options_(std::move(options)) {}
 
   enum class Verdict { kRun, kJoin, kAnswer, kAcknowledge, kFail, kTooMany };
+  struct Heard {
+    Verdict verdict = Verdict::kFail;
+    std::string reason;                    // of kFail
+    std::optional<std::int64_t> until_ms;  // of kRun: it may have run, and may be repeated until then
+  };
   // kRun and kJoin keep the delivery; for kAnswer, `answer_of` has what to say.
-  Verdict deliver(const std::string& name, Delivery delivery, bool redelivered, Semantics semantics,
-                  Time now);
+  Heard deliver(const std::string& name, Delivery delivery, bool redelivered, const ledger::Effect& effect,
+                Time now);
 
   // The call has its final answer: the deliveries that stand, which are to be answered and acknowledged.
   std::vector<Delivery> answered(const std::string& name, const Answer& answer, std::uint64_t epoch,
@@ -60,6 +67,8 @@
   // The delivery is answered and acknowledged. `certain`: the broker said that it has both, and the name goes
   // with its last delivery. Else the acknowledgement may be lost on its way, and the name is kept a while.
   void settled(const std::string& name, std::uint64_t epoch, std::uint64_t tag, bool certain);
+  // The name's key in the book.
+  std::string key(const std::string& name) const { return ledger::key_of(options_.front, name); }
   // The call was never taken after kRun: as if the message had not come.
   void forget(const std::string& name);
 
@@ -75,6 +84,7 @@
   };
   using Records = std::unordered_map<std::string, Record>;
   void expire(Time now);
+  Heard unknown(const std::string& name, Delivery delivery, bool redelivered, const ledger::Effect& effect);
 
   Options options_;
   Records records_;
--- /dev/null
+++ b/src/ledger/book.cpp
@@ -0,0 +1,320 @@
+#include "ledger/book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace laureltide::ledger {
+namespace {
+
+constexpr Duration kSweepEvery = std::chrono::seconds(1);
+constexpr const char* kTenure = "\x01tenure";  // a front's name never begins so
+
+std::string front_of(const std::string& key) { return split_key(key).first; }
+
+}  // namespace
+
+Book::Book(io::Host& host, Store& store, BookOptions options)
+    : host_(host),
+      store_(store),
+      options_(options),
+      wall_start_ms_(host.unix_ms()),
+      start_(host.now()),
+      sweep_(host.timer([this] { sweep(); })) {
+  store_.serve(this);
+  sweep_->start(kSweepEvery);
+}
+Book::~Book() {
+  *alive_ = false;
+  store_.serve(nullptr);
+}
+
+std::int64_t Book::now_ms() const {
+  return wall_start_ms_ + std::chrono::duration_cast<std::chrono::milliseconds>(host_.now() - start_).count();
+}
+
+std::optional<std::string> Book::load() {
+  std::optional<std::string> bad;
+  const std::int64_t keep = std::chrono::duration_cast<std::chrono::milliseconds>(options_.keep).count();
+  store_.load([&](std::string_view key, std::string_view value) {
+    auto [front, name] = split_key(key);
+    if (front == kTenure) {
+      tenures_[name] = value == "whole";
+      return;
+    }
+    if (front.empty() || front[0] == '\x01') return;  // the store's own
+    std::string why;
+    auto record = parse_record(value, why);
+    if (!record) {
+      if (!bad) bad = "record of " + front + " / " + name + ": " + why;
+      return;
+    }
+    const std::string k(key);
+    Entry& e = entries_[k];
+    e.record = std::move(*record);
+    e.stored = true;
+    weigh(k, e, 0);
+    // What nobody brings again waits for this gateway; the rest for its message or client, and not for ever.
+    const bool waits = e.record.owed && !e.record.delivered;
+    if (!waits)
+      expire_at(
+          k, e,
+          e.record.keep_until_ms > 0 ? e.record.keep_until_ms : std::max(e.record.taken_ms, now_ms()) + keep);
+  });
+  return bad;
+}
+
+const Record* Book::find(const std::string& key) const {
+  const auto it = entries_.find(key);
+  return it == entries_.end() ? nullptr : &it->second.record;
+}
+
+bool Book::held(const std::string& key) const {
+  const auto it = entries_.find(key);
+  return it != entries_.end() && it->second.held;
+}
+
+Book::Entry* Book::entry(const std::string& key) {
+  const auto it = entries_.find(key);
+  return it == entries_.end() ? nullptr : &it->second;
+}
+
+Ruling Book::on_message(const std::string& front, const std::string& name, const Effect& effect,
+                        bool redelivered) const {
+  return rule_on_message(find(key_of(front, name)), effect, redelivered, coverage(front), now_ms());
+}
+
+std::vector<std::string> Book::owed(const std::string& front) const {
+  std::vector<std::pair<std::int64_t, std::string>> found;
+  for (const auto& [key, e] : entries_)
+    if (!e.held && e.record.owed && !e.record.delivered && front_of(key) == front)
+      found.emplace_back(e.record.taken_ms, key);
+  std::sort(found.begin(), found.end());  // in the order in which they were taken
+  std::vector<std::string> keys;
+  for (auto& [at, key] : found) keys.push_back(std::move(key));
+  return keys;
+}
+
+// ---- A call's life ----------------------------------------------------------------------------------------
+
+void Book::weigh(const std::string& key, Entry& e, std::size_t before) {
+  e.size = e.record.size() + key.size();
+  bytes_ += e.size - before;
+  Usage& u = usage_[front_of(key)];
+  u.bytes += e.size - before;
+  if (before == 0) ++u.records;
+}
+
+void Book::write(const std::string& key, Entry& e) {
+  weigh(key, e, e.size);
+  e.stored = true;
+  store_.put(key, write_record(e.record));
+}
+
+void Book::commit(Done done) {
+  ++commits_;
+  store_.commit([done = std::move(done), alive = alive_] {
+    if (*alive && done) done();
+  });
+}
+
+void Book::expire_at(const std::string& key, Entry& e, std::int64_t at_ms) {
+  e.expires_ms = at_ms;
+  expiries_.emplace(at_ms, key);
+}
+
+void Book::take(const std::string& key, Record record, Done done) {
+  if (const auto old = entries_.find(key); old != entries_.end()) remove(old);
+  Entry& e = entries_[key];
+  e.record = std::move(record);
+  e.held = true;
+  weigh(key, e, 0);
+  if (!e.record.owed) return;
+  write(key, e);
+  step("take-queued");
+  commit([this, done = std::move(done)] {
+    step("take-durable");
+    if (done) done();
+  });
+}
+
+void Book::resume(const std::string& key, bool fresh) {
+  Entry* e = entry(key);
+  if (!e) return;
+  e->held = true;
+  e->expires_ms = 0;
+  if (fresh) e->record.attempts.clear();
+}
+
+void Book::add_reply(const std::string& key, ReplyTo to, Done done) {
+  Entry* e = entry(key);
+  if (!e) return;
+  e->record.replies.push_back(std::move(to));
+  write(key, *e);
+  commit(std::move(done));
+}
+
+std::size_t Book::attempt(const std::string& key, std::uint32_t worker, Done done) {
+  Entry* e = entry(key);
+  if (!e) {  // nothing is known of it, so nothing holds it back
+    commit(std::move(done));
+    return 0;
+  }
+  const std::size_t number = e->record.attempts.size();
+  e->record.attempts.push_back({worker, now_ms(), Fate::kOut});
+  write(key, *e);
+  step("attempt-queued");
+  commit([this, done = std::move(done)] {
+    step("attempt-durable");
+    if (done) done();
+  });
+  return number;
+}
+
+void Book::never_ran(const std::string& key, std::size_t number) {
+  Entry* e = entry(key);
+  if (!e || number >= e->record.attempts.size()) return;
+  e->record.attempts[number].fate = Fate::kNeverRan;
+  write(key, *e);
+  step("attempt-ended");
+}
+
+void Book::answer(const std::string& key, Answer answer, Done done) {
+  Entry* e = entry(key);
+  if (!e) {
+    if (done) done();
+    return;
+  }
+  answer.at_ms = now_ms();
+  e->record.answer = std::move(answer);
+  // An answer that leaves together with its acknowledgement needs no record of its own, unless there is one
+  // that would say something else.
+  if (!done && !e->stored) return;
+  write(key, *e);
+  step("answer-queued");
+  if (!done) return;
+  if (!well()) return done();  // a disk that does not write must not make answers late
+  const std::uint64_t ticket = next_impatient_++;
+  impatient_.emplace(ticket, std::move(done));
+  commit([this, ticket] {
+    const auto it = impatient_.find(ticket);
+    if (it == impatient_.end()) return;
+    const Done ready = std::move(it->second);
+    impatient_.erase(it);
+    step("answer-durable");
+    ready();
+  });
+}
+
+void Book::delivered(const std::string& key, Delivered how, std::int64_t keep_ms) {
+  const auto it = entries_.find(key);
+  if (it == entries_.end()) return;
+  if (how == Delivered::kCertain) {
+    remove(it);
+    return step("delivered-queued");
+  }
+  Entry& e = it->second;
+  e.record.delivered = true;
+  if (how == Delivered::kUnsure) {
+    e.record.body.clear(), e.record.replies.clear();
+    if (e.record.answer) e.record.answer->body.clear();
+  }
+  const std::int64_t keep =
+      keep_ms > 0 ? keep_ms : std::chrono::duration_cast<std::chrono::milliseconds>(options_.keep).count();
+  e.record.keep_until_ms = now_ms() + keep;
+  e.held = false;
+  write(key, e);
+  expire_at(key, e, e.record.keep_until_ms);
+  step("delivered-queued");
+}
+
+void Book::leave(const std::string& key) {
+  const auto it = entries_.find(key);
+  if (it == entries_.end()) return;
+  if (!it->second.stored) return remove(it);
+  it->second.held = false;
+  expire_at(key, it->second,
+            now_ms() + std::chrono::duration_cast<std::chrono::milliseconds>(options_.keep).count());
+}
+
+void Book::forget(const std::string& key) {
+  if (const auto it = entries_.find(key); it != entries_.end()) remove(it);
+}
+
+void Book::remove(Entries::iterator it) {
+  const std::string key = it->first;
+  Usage& u = usage_[front_of(key)];
+  bytes_ -= it->second.size;
+  u.bytes -= it->second.size;
+  if (--u.records == 0) usage_.erase(front_of(key));
+  if (it->second.stored) store_.erase(key);
+  entries_.erase(it);
+}
+
+void Book::sweep() {
+  sweep_->start(kSweepEvery);
+  const std::int64_t now = now_ms();
+  while (!expiries_.empty() && expiries_.begin()->first <= now) {
+    const auto [at, key] = *expiries_.begin();
+    expiries_.erase(expiries_.begin());
+    const auto it = entries_.find(key);
+    if (it == entries_.end() || it->second.expires_ms != at) continue;
+    // Its message may still come: from here on the ledger no longer knows all that ran of its queue.
+    const std::string front = front_of(key);
+    if (const auto t = tenures_.find(front); t != tenures_.end() && t->second) {
+      t->second = false;
+      store_.put(key_of(kTenure, front), "began");
+    }
+    remove(it);
+  }
+}
+
+Book::Usage Book::usage(const std::string& front) const {
+  const auto it = usage_.find(front);
+  return it == usage_.end() ? Usage{} : it->second;
+}
+
+// ---- Coverage -------------------------------------------------------------------------------------------
+
+Coverage Book::coverage(const std::string& front) const {
+  const auto it = tenures_.find(front);
+  return it != tenures_.end() && it->second ? Coverage::kWhole : Coverage::kNone;
+}
+
+void Book::begin_tenure(const std::string& front) {
+  if (tenures_.emplace(front, false).second) store_.put(key_of(kTenure, front), "began");
+}
+
+void Book::whole(const std::string& front) {
+  const auto it = tenures_.find(front);
+  if (it == tenures_.end() || it->second) return;
+  it->second = true;
+  store_.put(key_of(kTenure, front), "whole");
+}
+
+void Book::end_tenure(const std::string& front) {
+  if (tenures_.erase(front) > 0) store_.erase(key_of(kTenure, front));
+}
+
+// ---- Trouble --------------------------------------------------------------------------------------------
+
+std::string Book::closed() const {
+  if (!well()) return "the ledger cannot be written: " + trouble_;
+  if (full()) return "the ledger holds as much as it may (" + std::to_string(entries_.size()) + " records)";
+  return {};
+}
+
+void Book::on_trouble(const std::string& why, bool for_good) {
+  const bool news = trouble_.empty();
+  trouble_ = why + (for_good ? "; the gateway must be restarted" : "");
+  // Answers that wait for the disk would come too late: they leave, and a crash now may give them again.
+  for (auto& [ticket, done] : std::exchange(impatient_, {})) done();
+  if (news && on_state) on_state(false);
+}
+
+void Book::on_well() {
+  if (trouble_.empty()) return;
+  trouble_.clear();
+  if (on_state) on_state(true);
+}
+
+}  // namespace laureltide::ledger
--- /dev/null
+++ b/src/ledger/memory.cpp
@@ -0,0 +1,51 @@
+#include <utility>
+
+#include "ledger/store.h"
+
+namespace laureltide::ledger {
+
+constexpr Duration kTryAgain = std::chrono::milliseconds(100);
+
+MemoryStore::MemoryStore(io::Host& host, MemoryDisk& disk)
+    : host_(host), disk_(disk), timer_(host.timer([this] { sync(); })) {}
+
+void MemoryStore::put(std::string key, std::string value) {
+  given_.emplace_back(std::move(key), std::move(value));
+  gather();
+}
+void MemoryStore::erase(std::string key) {
+  given_.emplace_back(std::move(key), std::nullopt);
+  gather();
+}
+void MemoryStore::commit(std::function<void()> done) {
+  waiting_.push_back(std::move(done));
+  gather();
+}
+void MemoryStore::load(const std::function<void(std::string_view, std::string_view)>& each) {
+  for (const auto& [key, value] : disk_.data) each(key, value);
+}
+
+// One sync is out at a time, as on a disk; what comes meanwhile goes with the next.
+void MemoryStore::gather() {
+  if (busy_) return;
+  busy_ = true;
+  syncing_ = std::exchange(given_, {}), synced_ = std::exchange(waiting_, {});
+  const auto spread = static_cast<std::uint64_t>((disk_.most_delay - disk_.least_delay).count() + 1);
+  timer_->start(disk_.least_delay + Duration(static_cast<std::int64_t>(host_.random() % spread)));
+}
+
+void MemoryStore::sync() {
+  if (disk_.full) {
+    if (!std::exchange(troubled_, true) && events_) events_->on_trouble("no space left on the disk", false);
+    return timer_->start(kTryAgain);
+  }
+  ++disk_.commits;
+  for (auto& [key, value] : std::exchange(syncing_, {}))
+    value ? void(disk_.data[key] = std::move(*value)) : void(disk_.data.erase(key));
+  busy_ = false;
+  if (std::exchange(troubled_, false) && events_) events_->on_well();
+  for (const auto& done : std::exchange(synced_, {})) done();
+  if (!busy_ && (!given_.empty() || !waiting_.empty())) gather();
+}
+
+}  // namespace laureltide::ledger
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -6,11 +6,14 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstring>
 #include <ctime>
+#include <mutex>
 #include <random>
 #include <stdexcept>
 #include <utility>
@@ -245,6 +248,26 @@
     EventPtr event;
   };
   std::vector<std::unique_ptr<Signal>> signals;
+  // What other threads bring, and the descriptor that wakes the loop for it.
+  std::mutex mutex;
+  std::vector<std::function<void()>> brought;
+  int wake = -1;
+  EventPtr woken;
+  void take_brought() {
+    std::uint64_t count = 0;
+    const ssize_t ignored = read(wake, &count, sizeof count);
+    static_cast<void>(ignored);
+    std::vector<std::function<void()>> all;
+    {
+      const std::lock_guard lock(mutex);
+      all.swap(brought);
+    }
+    for (const auto& what : all) what();
+  }
+  ~Impl() {
+    woken.reset();
+    if (wake >= 0) close(wake);
+  }
 };
 
 Loop::Loop(LoopOptions options) : impl_(std::make_unique<Impl>()) {
@@ -257,6 +280,12 @@
   impl_->base.reset(event_base_new_with_config(config.get()));
   if (!impl_->base) throw std::runtime_error("no event loop can be made");
   std::signal(SIGPIPE, SIG_IGN);
+  impl_->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+  if (impl_->wake < 0) throw std::runtime_error("no descriptor to wake the loop with");
+  impl_->woken.reset(event_new(
+      impl_->base.get(), impl_->wake, EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void* raw) { static_cast<Impl*>(raw)->take_brought(); }, impl_.get()));
+  event_add(impl_->woken.get(), nullptr);
 }
 Loop::~Loop() { impl_->signals.clear(); }
 
@@ -307,6 +336,19 @@
   impl_->signals.push_back(std::move(signal));
 }
 
+void Loop::post(std::function<void()> what) {
+  bool first = false;
+  {
+    const std::lock_guard lock(impl_->mutex);
+    first = impl_->brought.empty();
+    impl_->brought.push_back(std::move(what));
+  }
+  if (!first) return;  // it is woken already
+  const std::uint64_t one = 1;
+  const ssize_t ignored = write(impl_->wake, &one, sizeof one);
+  static_cast<void>(ignored);
+}
+
 void Loop::run() { event_base_loop(impl_->base.get(), EVLOOP_NO_EXIT_ON_EMPTY); }
 void Loop::stop() { event_base_loopbreak(impl_->base.get()); }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -29,6 +29,8 @@
 
   // Handled on the loop's thread, so that a handler may do anything.
   void on_signal(int number, std::function<void()> handler);
+  // From any thread: runs `what` on the loop's, in order. What is left when the loop ends is dropped.
+  void post(std::function<void()> what);
   void run();   // until stop()
   void stop();  // from the loop's thread
 
--- a/src/standin/broker.h
+++ b/src/standin/broker.h
@@ -66,7 +66,7 @@
     Connection* connection = nullptr;
     std::uint16_t channel = 0;
     std::string tag, queue;
-    bool no_ack = false;
+    bool no_ack = false, exclusive = false;
     std::uint16_t prefetch = 0;
     std::size_t unacked = 0;
   };
--- a/src/standin/caller.cpp
+++ b/src/standin/caller.cpp
@@ -89,7 +89,11 @@
   }
   const std::string call = content.properties.correlation_id.value_or("");
   tape_.note(host_.now(), "answer",
-             {{"call", call}, {"outcome", a.outcome}, {"reason", a.reason}, {"bytes", a.body.size()}});
+             {{"call", call},
+              {"outcome", a.outcome},
+              {"reason", a.reason},
+              {"bytes", a.body.size()},
+              {"id", content.properties.message_id.value_or("")}});
   if (on_answer) on_answer(call, a);
   answers_.emplace(call, std::move(a));
 }
--- a/src/standin/day.cpp
+++ b/src/standin/day.cpp
@@ -97,6 +97,17 @@
     }
     return all;
   }
+  std::vector<std::string> texts(const char* key) {
+    std::vector<std::string> all;
+    const toml::node* n = get(key);
+    if (!n) return all;
+    if (!n->as_array()) return problem(*n, key, "a list of texts"), all;
+    for (const toml::node& item : *n->as_array()) {
+      const auto v = item.value_exact<std::string>();
+      v ? all.push_back(*v) : problem(item, key, "texts");
+    }
+    return all;
+  }
   Table table(const char* key) {
     const toml::node* n = get(key);
     if (n && !n->as_table()) problem(*n, key, "a table");
@@ -263,6 +274,12 @@
   day.prefetch = static_cast<std::size_t>(fleet.number("prefetch", 256, 1, 65535));
   day.load_on_miss = fleet.flag("load_on_miss", false);
   day.confirm_mode = fleet.flag("confirm_mode", false);
+  day.ledger = fleet.flag("ledger", false);
+  day.acknowledge_on_take = fleet.flag("acknowledge_on_take", false);
+  day.sole_reader = fleet.flag("sole_reader", false);
+  day.die_at = fleet.texts("die_at");
+  if (!day.ledger && (day.acknowledge_on_take || day.sole_reader || !day.die_at.empty()))
+    fleet.wrong("ledger", "is needed (true) for acknowledge_on_take, sole_reader and die_at");
   day.keep_alive = fleet.ms("keep_alive_ms", 8s);
   day.list_lag = fleet.ms("list_lag_ms", 300ms);
   day.store_at_once = static_cast<std::size_t>(fleet.number("store_at_once", 8, 1, 1e6));
--- a/src/standin/day.h
+++ b/src/standin/day.h
@@ -81,6 +81,9 @@
   double memory_mb = 4096;
   std::size_t queue = 32, prefetch = 256;
   bool load_on_miss = false, confirm_mode = false;
+  bool ledger = false, acknowledge_on_take = false, sole_reader = false;
+  // Where gateway 0 kills itself, life after life: steps of the ledger, such as "attempt-durable:20".
+  std::vector<std::string> die_at;
   Duration keep_alive{}, list_lag{};
   // Rules.
   Duration drain_grace{}, answer_grace{}, cold_for{}, overload_for{}, order_window{};
--- /dev/null
+++ b/tests/ledger/lmdb_test.cpp
@@ -0,0 +1,296 @@
+// The store on a real disk: what is told as kept is there after a kill, and damage is said before it does
+// harm.
+#include "ledger/lmdb.h"
+
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <condition_variable>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+
+#include "ledger/record.h"
+
+namespace laureltide::ledger {
+namespace {
+
+namespace fs = std::filesystem;
+using namespace std::chrono_literals;
+
+// Brings what the store's thread says to the test's.
+struct Mail {
+  std::mutex mutex;
+  std::condition_variable came;
+  std::vector<std::function<void()>> all;
+  std::function<void(std::function<void()>)> post() {
+    return [this](std::function<void()> what) {
+      const std::lock_guard lock(mutex);
+      all.push_back(std::move(what));
+      came.notify_all();
+    };
+  }
+  bool run_until(const std::function<bool()>& done) {
+    const auto until = std::chrono::steady_clock::now() + 30s;
+    while (!done()) {
+      std::unique_lock lock(mutex);
+      if (!came.wait_until(lock, until, [this] { return !all.empty(); })) return false;
+      const auto now = std::exchange(all, {});
+      lock.unlock();
+      for (const auto& what : now) what();
+    }
+    return true;
+  }
+};
+
+struct Lmdb : testing::Test, StoreEvents {
+  std::string dir;
+  Mail mail;
+  std::vector<std::string> troubles;
+  int well = 0;
+  Lmdb() {
+    std::string pattern = (fs::temp_directory_path() / "laureltide-ledger-XXXXXX").string();
+    dir = mkdtemp(pattern.data());
+  }
+  ~Lmdb() override { fs::remove_all(dir); }
+  void on_trouble(const std::string& why, bool) override { troubles.push_back(why); }
+  void on_well() override { ++well; }
+
+  Opened open(std::size_t most_mb = 64) {
+    LmdbOptions o;
+    o.directory = dir + "/l", o.most_mb = most_mb;
+    Opened opened = open_lmdb(o, mail.post());
+    if (opened.store) opened.store->serve(this);
+    return opened;
+  }
+  static std::string value(const std::string& body = "body") {
+    Record r;
+    r.function = "gate", r.body = body, r.owed = true;
+    return write_record(r);
+  }
+  static std::map<std::string, std::string> all(Store& store) {
+    std::map<std::string, std::string> found;
+    store.load([&](std::string_view k, std::string_view v) { found.emplace(k, v); });
+    return found;
+  }
+  void fill(int records = 500) {
+    Opened o = open();
+    ASSERT_TRUE(o.store) << o.why;
+    bool kept = false;
+    for (int i = 0; i < records; ++i)
+      o.store->put(key_of("f", std::to_string(i)), value(std::string(100, 'x')));
+    o.store->commit([&] { kept = true; });
+    ASSERT_TRUE(mail.run_until([&] { return kept; }));
+  }
+  std::string file() const { return dir + "/l/data.mdb"; }
+};
+
+TEST_F(Lmdb, KeepsTheLastWordOnEachKey) {
+  {
+    Opened o = open();
+    ASSERT_TRUE(o.store) << o.why;
+    bool kept = false;
+    o.store->put("a", value("1")), o.store->put("a", value("2")), o.store->put("b", value());
+    o.store->erase("b"), o.store->erase("never there");
+    o.store->commit([&] { kept = true; });
+    ASSERT_TRUE(mail.run_until([&] { return kept; }));
+  }
+  Opened o = open();
+  ASSERT_TRUE(o.store) << o.why;
+  EXPECT_EQ(all(*o.store), (std::map<std::string, std::string>{{"a", value("2")}}));
+}
+
+TEST_F(Lmdb, CommitsAreToldInOrder) {
+  Opened o = open();
+  std::vector<int> told;
+  for (int i = 0; i < 200; ++i) {
+    o.store->put("k" + std::to_string(i), value());
+    o.store->commit([&told, i] { told.push_back(i); });
+  }
+  ASSERT_TRUE(mail.run_until([&] { return told.size() == 200; }));
+  EXPECT_TRUE(std::is_sorted(told.begin(), told.end()));
+}
+
+TEST_F(Lmdb, LongNamesAreKeptWhole) {
+  const std::string one = key_of("f", std::string(600, 'n') + "1"),
+                    two = key_of("f", std::string(600, 'n') + "2");
+  {
+    Opened o = open();
+    bool kept = false;
+    o.store->put(one, value("1")), o.store->put(two, value("2"));
+    o.store->commit([&] { kept = true; });
+    ASSERT_TRUE(mail.run_until([&] { return kept; }));
+  }
+  Opened o = open();
+  const auto found = all(*o.store);
+  ASSERT_EQ(found.size(), 2U);
+  EXPECT_EQ(found.at(one), value("1"));
+}
+
+// The child is killed outright, over and over; whatever it had told as kept must be there.
+TEST_F(Lmdb, WhatWasToldAsKeptSurvivesAKill) {
+  for (int round = 0; round < 8; ++round) {
+    int pipes[2];
+    ASSERT_EQ(pipe(pipes), 0);
+    const pid_t child = fork();
+    if (child == 0) {
+      Mail own;
+      LmdbOptions o;
+      o.directory = dir + "/l", o.most_mb = 64;
+      Opened opened = open_lmdb(o, own.post());
+      if (!opened.store) _exit(1);
+      int told = 0;
+      for (int i = 0; i < 100'000; ++i) {
+        opened.store->put(key_of("r" + std::to_string(round), std::to_string(i)), value());
+        opened.store->commit([&told, &pipes, i] {
+          told = i;
+          const ssize_t ignored = write(pipes[1], &i, sizeof i);
+          static_cast<void>(ignored);
+        });
+        if (i % 50 == 0) own.run_until([&] { return told >= i; });
+      }
+      _exit(0);
+    }
+    close(pipes[1]);
+    int last = -1, next = 0;
+    while (last < 20 + 37 * round && read(pipes[0], &next, sizeof next) == sizeof next) last = next;
+    kill(child, SIGKILL);
+    while (read(pipes[0], &next, sizeof next) == sizeof next) last = next;  // what it still said in time
+    close(pipes[0]);
+    int status = 0;
+    ASSERT_EQ(waitpid(child, &status, 0), child);
+    ASSERT_TRUE(WIFSIGNALED(status));
+    Opened o = open();
+    ASSERT_TRUE(o.store) << o.why;
+    const auto found = all(*o.store);
+    for (int i = 0; i <= last; ++i)
+      ASSERT_TRUE(found.contains(key_of("r" + std::to_string(round), std::to_string(i))))
+          << round << " " << i;
+  }
+}
+
+TEST_F(Lmdb, OneWriterAtATime) {
+  Opened first = open();
+  ASSERT_TRUE(first.store);
+  Opened second = open();
+  EXPECT_FALSE(second.store);
+  EXPECT_NE(second.why.find("in use by another process"), std::string::npos) << second.why;
+}
+
+TEST_F(Lmdb, ANewerDirectoryIsLeftAlone) {
+  fill();
+  const auto size = fs::file_size(file());
+  std::ofstream(dir + "/l/version") << "laureltide-ledger 2\n";
+  Opened o = open();
+  EXPECT_FALSE(o.store);
+  EXPECT_NE(o.why.find("version 2, newer than this program's 1"), std::string::npos) << o.why;
+  EXPECT_EQ(fs::file_size(file()), size);
+}
+
+TEST_F(Lmdb, ALostFileIsNotTakenForANewLedger) {
+  fill();
+  fs::resize_file(file(), 0);
+  EXPECT_NE(open().why.find("empty, though a ledger was made here"), std::string::npos);
+  fs::remove(dir + "/l/version");
+  EXPECT_NE(open().why.find("no readable file 'version'"), std::string::npos);
+}
+
+TEST_F(Lmdb, ACutFileIsSaidAndDoesNotCrashAnyone) {
+  fill();
+  const auto size = fs::file_size(file());
+  for (const double part : {0.9, 0.5, 0.1}) {
+    fs::resize_file(file(), static_cast<std::uintmax_t>(static_cast<double>(size) * part) / 4096 * 4096);
+    const Opened o = open();
+    EXPECT_FALSE(o.store) << part;
+    EXPECT_NE(o.why.find("cut off"), std::string::npos) << o.why;
+    EXPECT_FALSE(walk(dir + "/l", [](auto, auto) {}).why.empty());
+  }
+}
+
+// Pages of noise where pages of data were: said by a child that reads first, or by a record's own checksum.
+TEST_F(Lmdb, DamagedPagesAreSaid) {
+  fill();
+  std::string whole;
+  {
+    std::ifstream in(file(), std::ios::binary);
+    whole.assign(std::istreambuf_iterator<char>(in), {});
+  }
+  std::size_t seen = 0, pages = 0;
+  for (std::size_t at = 2 * 4096; at + 4096 <= whole.size(); at += 4096) {
+    std::string bad = whole;
+    for (std::size_t i = 0; i < 4096; ++i) bad[at + i] = static_cast<char>(i * 37 + at / 4096);
+    std::ofstream(file(), std::ios::binary | std::ios::trunc) << bad;
+    const Opened o = open();
+    ++pages;
+    seen += !o.store;
+  }
+  std::ofstream(file(), std::ios::binary | std::ios::trunc) << whole;
+  EXPECT_TRUE(open().store);
+  // Pages that no record uses may hold anything; most are in use.
+  EXPECT_GE(seen, pages / 2) << pages;
+}
+
+// The last commit was torn: its meta page is noise, and the one before counts.
+TEST_F(Lmdb, ATornLastCommitLeavesTheOneBefore) {
+  fill();
+  {
+    Opened o = open();
+    bool kept = false;
+    o.store->put(key_of("f", "last"), value());
+    o.store->commit([&] { kept = true; });
+    ASSERT_TRUE(mail.run_until([&] { return kept; }));
+  }
+  std::string whole;
+  {
+    std::ifstream in(file(), std::ios::binary);
+    whole.assign(std::istreambuf_iterator<char>(in), {});
+  }
+  int stood = 0;
+  for (const std::size_t meta : {std::size_t{0}, std::size_t{4096}}) {
+    std::string torn = whole;
+    for (std::size_t i = 100; i < 160; ++i)
+      torn[meta + i] = 0;  // counters of the meta page: as before the first commit
+    std::ofstream(file(), std::ios::binary | std::ios::trunc) << torn;
+    Opened o = open();
+    if (!o.store) continue;
+    const auto found = all(*o.store);
+    stood += found.size() >= 500;
+  }
+  EXPECT_GE(stood, 1);
+}
+
+TEST_F(Lmdb, AFullStoreWaitsAndGoesOn) {
+  Opened o = open(1);
+  ASSERT_TRUE(o.store) << o.why;
+  bool kept = false;
+  for (int i = 0; i < 40; ++i) o.store->put("big" + std::to_string(i), value(std::string(100'000, 'x')));
+  o.store->commit([&] { kept = true; });
+  ASSERT_TRUE(mail.run_until([&] { return !troubles.empty(); }));
+  EXPECT_FALSE(kept);
+  EXPECT_NE(troubles[0].find("MDB_MAP_FULL"), std::string::npos) << troubles[0];
+}
+
+TEST_F(Lmdb, ADirectoryThatCannotBeWrittenIsSaid) {
+  std::ofstream(dir + "/l") << "a file stands there";
+  const Opened o = open();
+  EXPECT_FALSE(o.store);
+  EXPECT_NE(o.why.find(dir + "/l"), std::string::npos) << o.why;
+}
+
+TEST_F(Lmdb, CompactCopiesWhileItIsInUse) {
+  fill();
+  Opened o = open();
+  ASSERT_TRUE(o.store);
+  EXPECT_EQ(copy_compact(dir + "/l", dir + "/copy"), "");
+  std::size_t n = 0;
+  const Walked w = walk(dir + "/copy", [&](auto, auto) { ++n; });
+  EXPECT_EQ(w.why, "");
+  EXPECT_EQ(n, 500U);
+  EXPECT_NE(copy_compact(dir + "/l", dir + "/copy"), "");  // never over another
+}
+
+}  // namespace
+}  // namespace laureltide::ledger
--- /dev/null
+++ b/tests/ledger/ruling_test.cpp
@@ -0,0 +1,121 @@
+// The table of docs/ledger.md, row by row; the page's own rows are read and held against the code.
+#include "ledger/ruling.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace laureltide::ledger {
+namespace {
+
+constexpr std::int64_t kNow = 1'000'000;
+const Effect kRead{Semantics::kRepeatable, RepeatGroup::kAll, 0};
+const Effect kKeyedAll{Semantics::kKeyed, RepeatGroup::kAll, 2000};
+const Effect kKeyedCell{Semantics::kKeyed, RepeatGroup::kCell, 2000};
+const Effect kOnce{Semantics::kOnce, RepeatGroup::kAll, 0};
+
+// The records that the page names.
+std::optional<Record> record_of(const std::string& last) {
+  if (last == "none") return std::nullopt;
+  Record r;
+  r.taken_ms = kNow - 1000, r.give_up_ms = kNow + 1000;
+  if (last == "taken") return r;
+  r.attempts = {{1, kNow - 900, Fate::kNeverRan}};
+  if (last == "never ran") return r;
+  r.attempts.push_back({2, kNow - 800, Fate::kOut});
+  if (last == "may have run") return r;
+  if (last == "may have run, window over") return r.attempts.back().sent_ms = kNow - 2000, r;
+  if (last == "may have run, clock set back") return r.attempts.back().sent_ms = kNow + 1, r;
+  r.answer = Answer{Answer::Kind::kServed, "", "x", 0, kNow - 700};
+  if (last == "answered") return r;
+  r.delivered = true;
+  if (last == "delivered") return r;
+  ADD_FAILURE() << "the page names a record that this test does not know: " << last;
+  return std::nullopt;
+}
+std::string text_of(Verdict v) {
+  switch (v) {
+    case Verdict::kRun: return "run";
+    case Verdict::kRunUntil: return "run until";
+    case Verdict::kAnswer: return "answer";
+    case Verdict::kAcknowledge: return "acknowledge";
+    case Verdict::kRefuse: return "refuse";
+    case Verdict::kFail: return "fail";
+  }
+  return "";
+}
+std::string trimmed(std::string s) {
+  s.erase(0, s.find_first_not_of(" `"));
+  s.erase(s.find_last_not_of(" `") + 1);
+  return s;
+}
+
+// Rows of the page that begin so, as cells.
+std::vector<std::vector<std::string>> rows(const std::string& table, std::size_t cells) {
+  std::ifstream in(LAURELTIDE_DOCS "/ledger.md");
+  std::vector<std::vector<std::string>> found;
+  bool within = false;
+  for (std::string line; std::getline(in, line);) {
+    if (line.rfind("#", 0) == 0) within = line.find(table) != std::string::npos;
+    if (!within || line.rfind("| ", 0) != 0) continue;
+    std::vector<std::string> row;
+    std::istringstream text(line.substr(1));
+    for (std::string cell; std::getline(text, cell, '|');) row.push_back(trimmed(cell));
+    if (row.size() >= cells && row[0] != "last record" && row[0] != "---") found.push_back(row);
+  }
+  return found;
+}
+const std::map<std::string, Effect> kClasses{
+    {"repeatable", kRead}, {"keyed, all", kKeyedAll}, {"keyed, zone or cell", kKeyedCell}, {"once", kOnce}};
+
+// last record | redelivered | whole coverage | repeatable | keyed, all | keyed, zone or cell | once
+TEST(Ruling, MessagesAsThePageSays) {
+  const auto table = rows("A message names the call", 7);
+  ASSERT_GE(table.size(), 14U);
+  std::size_t checked = 0;
+  for (const auto& row : table) {
+    const auto record = record_of(row[0]);
+    for (const bool redelivered : {false, true})
+      for (const bool whole : {false, true}) {
+        if (row[1] != "any" && redelivered != (row[1] == "yes")) continue;
+        if (row[2] != "any" && whole != (row[2] == "yes")) continue;
+        const char* names[] = {"repeatable", "keyed, all", "keyed, zone or cell", "once"};
+        for (std::size_t c = 0; c < 4; ++c) {
+          const Ruling r = rule_on_message(record ? &*record : nullptr, kClasses.at(names[c]), redelivered,
+                                           whole ? Coverage::kWhole : Coverage::kNone, kNow);
+          EXPECT_EQ(text_of(r.verdict), row[3 + c])
+              << row[0] << ", redelivered " << redelivered << ", whole " << whole << ", " << names[c];
+          if (r.verdict == Verdict::kFail) {
+            EXPECT_FALSE(r.reason.empty());
+          }
+          if (r.verdict == Verdict::kRunUntil) {
+            EXPECT_EQ(r.until_ms, kNow - 800 + 2000);
+          }
+          ++checked;
+        }
+      }
+  }
+  EXPECT_EQ(checked, 8U * 2 * 2 * 4);  // every record, in every case, by exactly one row
+}
+
+// last record | time left | repeatable | keyed, all | keyed, zone or cell | once
+TEST(Ruling, OwedCallsAsThePageSays) {
+  const auto table = rows("An owed call is found", 6);
+  ASSERT_GE(table.size(), 6U);
+  for (const auto& row : table) {
+    for (const bool left : {false, true}) {
+      if (row[1] != "any" && left != (row[1] == "yes")) continue;
+      auto record = record_of(row[0]);
+      ASSERT_TRUE(record) << row[0];
+      record->give_up_ms = left ? kNow + 1 : kNow;
+      const char* names[] = {"repeatable", "keyed, all", "keyed, zone or cell", "once"};
+      for (std::size_t c = 0; c < 4; ++c)
+        EXPECT_EQ(text_of(rule_on_owed(*record, kClasses.at(names[c]), kNow).verdict), row[2 + c])
+            << row[0] << ", time left " << left << ", " << names[c];
+    }
+  }
+}
+
+}  // namespace
+}  // namespace laureltide::ledger
