--- a/bench/hops.cpp
+++ b/bench/hops.cpp
@@ -4,17 +4,24 @@
 //   sends
 //             at a rate, and measures round trips;
 //   worker:   answers each call at once (mode amqp) or each block of bytes (mode raw);
-//   relay:    moves bytes between the two and decides nothing.
+//   relay:    moves bytes between the two and decides nothing;
+//   clients:  many connections with one call out on each, over HTTP (mode http) or as blocks (mode raw), to a
+//             gateway or to a relay that listens;
+//   fill:     a ledger with so many records, for the time of a restart.
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cmath>
 #include <csignal>
+#include <deque>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
 #include "amqp/endpoint.h"
+#include "http/message.h"
+#include "ledger/book.h"
+#include "ledger/lmdb.h"
 #include "net/loop.h"
 #include "worker/server.h"
 
@@ -30,7 +37,9 @@
   std::size_t outstanding = 200, body = 200, functions = 300, workers = 14;
   double rate = 0, seconds = 5, warm_s = 3, delay_ms = 0;
   std::size_t ask_bytes = 400, answer_bytes = 400;
-  bool hold_only = false;
+  bool hold_only = false, listen = false, keys = false;
+  std::string directory;
+  std::size_t records = 1000;
 };
 
 double cpu_seconds(int pid) {
@@ -343,8 +352,172 @@
   std::size_t next_ = 0;
 };
 
+// The same for many clients that connect here: what a worker answers goes to whoever asked, in order.
+class ListeningRelay {
+ public:
+  ListeningRelay(lt::net::Loop& loop, const Options& o) : o_(o) {
+    for (const std::uint16_t port : o.to) {
+      arms_.push_back(std::make_unique<Arm>());
+      arms_.back()->relay = this;
+      arms_.back()->connection = loop.connect({"127.0.0.1", port}, {}, *arms_.back());
+    }
+    listener_ = loop.listen({"127.0.0.1", o.port}, {}, [this](std::unique_ptr<lt::io::Connection> c) {
+      clients_.push_back(std::make_unique<Client>());
+      clients_.back()->relay = this;
+      clients_.back()->connection = std::move(c);
+      return clients_.back().get();
+    });
+  }
+  std::uint16_t port() const { return listener_->address().port; }
+
+ private:
+  struct Client : lt::io::ConnectionEvents {
+    ListeningRelay* relay = nullptr;
+    std::unique_ptr<lt::io::Connection> connection;
+    std::size_t on_bytes(std::string_view bytes) override {
+      std::size_t used = 0;
+      for (; bytes.size() - used >= relay->o_.ask_bytes; used += relay->o_.ask_bytes) {
+        Arm& arm = *relay->arms_[relay->next_++ % relay->arms_.size()];
+        arm.askers.push_back(this);
+        arm.connection->write(bytes.substr(used, relay->o_.ask_bytes));
+      }
+      return used;
+    }
+    void on_closed(lt::io::Closed) override {}
+  };
+  struct Arm : lt::io::ConnectionEvents {
+    ListeningRelay* relay = nullptr;
+    std::unique_ptr<lt::io::Connection> connection;
+    std::deque<Client*> askers;
+    std::size_t on_bytes(std::string_view bytes) override {
+      const std::size_t size = relay->o_.answer_bytes;
+      std::size_t used = 0;
+      for (; bytes.size() - used >= size; used += size) {
+        askers.front()->connection->write(bytes.substr(used, size));
+        askers.pop_front();
+      }
+      return used;
+    }
+    void on_closed(lt::io::Closed) override { std::exit(0); }
+  };
+  const Options& o_;
+  std::unique_ptr<lt::io::Listener> listener_;
+  std::vector<std::unique_ptr<Client>> clients_;
+  std::vector<std::unique_ptr<Arm>> arms_;
+  std::size_t next_ = 0;
+};
+
+// `outstanding` connections, each with one call out.
+class Clients : public Source {
+ public:
+  Clients(lt::net::Loop& loop, const Options& o) : Source(loop, o) {
+    for (std::size_t i = 0; i < o.outstanding; ++i) {
+      all_.push_back(std::make_unique<One>(*this));
+      all_.back()->connection = loop.connect({"127.0.0.1", o.port}, {}, *all_.back());
+    }
+  }
+
+ protected:
+  struct One : lt::io::ConnectionEvents {
+    explicit One(Clients& owner) : clients(owner), parser(lt::http::Parser::Side::kResponse, {}) {}
+    Clients& clients;
+    std::unique_ptr<lt::io::Connection> connection;
+    lt::http::Parser parser;
+    std::uint64_t number = 0;
+    void on_open() override {
+      clients.idle_.push_back(this);
+      if (clients.idle_.size() == clients.all_.size()) clients.begin();
+    }
+    std::size_t on_bytes(std::string_view bytes) override {
+      std::size_t used = 0;
+      if (clients.o_.mode == "raw") {
+        if (bytes.size() < clients.o_.answer_bytes) return 0;
+        used = clients.o_.answer_bytes;
+      } else {
+        if (parser.feed(bytes, used) != lt::http::Parser::State::kDone) return used;
+        if (parser.status() != 200) clients.bad_ = parser.status();
+        parser.reset();
+      }
+      clients.idle_.push_back(this);
+      clients.came(number);
+      return used;
+    }
+    void on_closed(lt::io::Closed) override { std::cerr << "a connection ended\n", std::exit(1); }
+  };
+  void send(std::uint64_t number) override {
+    One& one = *idle_.back();
+    idle_.pop_back();
+    one.number = number;
+    if (o_.mode == "raw") return one.connection->write(std::string(o_.ask_bytes, 'a'));
+    lt::http::Request r;
+    r.method = "POST", r.target = "/v1/functions/f-" + std::to_string(number % o_.functions) + "/calls";
+    r.headers.add("Host", "gateway");
+    r.headers.add("Authorization", "Bearer key");
+    if (o_.keys) r.headers.add("Idempotency-Key", std::to_string(number));
+    r.body.assign(o_.body, 'b');
+    std::string out;
+    lt::http::write(out, r);
+    one.connection->write(out);
+  }
+  void flush() override {}
+
+ private:
+  std::vector<std::unique_ptr<One>> all_;
+  std::vector<One*> idle_;
+
+ public:
+  int bad_ = 0;
+};
+
+int clients(const Options& o) {
+  lt::net::Loop loop;
+  int pid = 0;
+  std::cin >> pid;
+  Clients all(loop, o);
+  double cpu_from = 0;
+  auto measure = loop.timer([&] { cpu_from = cpu_seconds(pid); });
+  auto stop = loop.timer([&] { loop.stop(); });
+  measure->start(std::chrono::duration_cast<lt::Duration>(std::chrono::duration<double>(o.warm_s)));
+  stop->start(std::chrono::duration_cast<lt::Duration>(std::chrono::duration<double>(o.warm_s + o.seconds)));
+  loop.run();
+  nlohmann::json result = all.result();
+  const double cpu = cpu_seconds(pid) - cpu_from;
+  result["cpu_us_per_call"] = 1e6 * cpu / std::max(1.0, result["calls"].get<double>());
+  result["cores"] = cpu / o.seconds;
+  result["bad"] = all.bad_;
+  std::cout << result.dump() << std::endl;
+  return 0;
+}
+
+int fill(const Options& o) {
+  lt::net::Loop loop;
+  lt::ledger::LmdbOptions lmdb;
+  lmdb.directory = o.directory;
+  auto opened = lt::ledger::open_lmdb(lmdb, [&](std::function<void()> what) { loop.post(std::move(what)); });
+  if (!opened.store) return std::cerr << opened.why << '\n', 1;
+  for (std::size_t i = 0; i < o.records; ++i) {
+    lt::ledger::Record r;
+    r.function = "f-" + std::to_string(i % 300), r.taken_ms = loop.unix_ms(),
+    r.give_up_ms = r.taken_ms + 20'000;
+    r.replies = {{"answers", std::to_string(i)}};
+    r.attempts = {{static_cast<std::uint32_t>(i % 14 + 1), r.taken_ms, lt::ledger::Fate::kOut}};
+    opened.store->put(lt::ledger::key_of("amqp/broker-0/calls", "call-" + std::to_string(i)),
+                      lt::ledger::write_record(r));
+  }
+  opened.store->commit([&] { loop.stop(); });
+  loop.run();
+  return 0;
+}
+
 int relay(const Options& o) {
   lt::net::Loop loop;
+  if (o.listen) {
+    const ListeningRelay relay(loop, o);
+    std::cout << "listening " << relay.port() << std::endl;
+    loop.on_signal(SIGTERM, [&] { loop.stop(); });
+    loop.run();
+    return 0;
+  }
   const Relay relay(loop, o);
   loop.on_signal(SIGTERM, [&] { loop.stop(); });
   loop.run();
@@ -371,13 +544,21 @@
     s->add_option("--delay-ms", o.delay_ms);
     s->add_option("--ask-bytes", o.ask_bytes);
     s->add_option("--answer-bytes", o.answer_bytes);
+    s->add_option("--directory", o.directory);
+    s->add_option("--records", o.records);
+    s->add_flag("--listen", o.listen);
+    s->add_flag("--keys", o.keys);
     return s;
   };
   CLI::App* f = with(app.add_subcommand("firehose"));
   CLI::App* w = with(app.add_subcommand("worker"));
   with(app.add_subcommand("relay"));
+  CLI::App* c = with(app.add_subcommand("clients"));
+  CLI::App* l = with(app.add_subcommand("fill"));
   CLI11_PARSE(app, argc, argv);
   if (*f) return firehose(o);
   if (*w) return worker(o);
+  if (*c) return clients(o);
+  if (*l) return fill(o);
   return relay(o);
 }
--- /dev/null
+++ b/fuzz/http.cpp
@@ -0,0 +1,56 @@
+// HTTP bytes at the parser, in one piece and in several, and at a server with a handler behind it; records.
+#include "http/client.h"
+#include "http/server.h"
+#include "ledger/record.h"
+#include "sim/network.h"
+
+using namespace laureltide;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  http::Limits limits;
+  limits.body = 4096;
+  for (const auto side : {http::Parser::Side::kRequest, http::Parser::Side::kResponse}) {
+    http::Parser whole(side, limits), pieces(side, limits);
+    std::size_t used = 0, at = 0;
+    const auto a = whole.feed(bytes, used);
+    auto b = http::Parser::State::kMore;
+    while (at < bytes.size() && b == http::Parser::State::kMore) {
+      std::size_t n = 0;
+      b = pieces.feed(bytes.substr(at, 3), n);
+      at += n;
+    }
+    // Where a message ends must not depend on how its bytes arrive.
+    if (a != b || (a == http::Parser::State::kDone && (used != at || whole.body() != pieces.body())))
+      __builtin_trap();
+  }
+  http::split_target(bytes);
+  std::string why;
+  if (const auto record = ledger::parse_record(bytes, why))
+    if (!ledger::parse_record(ledger::write_record(*record), why)) __builtin_trap();
+  sim::Network net;
+  struct Echo : http::Server::Events {
+    http::Server* server = nullptr;
+    void on_request(http::Server::Ticket t, http::Request r) override {
+      http::Response answer;
+      answer.body = r.body;
+      server->respond(t, std::move(answer));
+    }
+    void on_gone(http::Server::Ticket) override {}
+    std::string on_bad(int, const std::string& reason) override { return reason; }
+  } echo;
+  http::Server server(net, {}, echo);
+  echo.server = &server;
+  if (!server.listen({"127.0.0.1", 80})) return 0;
+  struct Peer : io::ConnectionEvents {
+    std::unique_ptr<io::Connection> c;
+    std::string out;
+    void on_open() override { c->write(out); }
+    std::size_t on_bytes(std::string_view b) override { return b.size(); }
+    void on_closed(io::Closed) override {}
+  } peer;
+  peer.out = bytes;
+  peer.c = net.connect({"127.0.0.1", 80}, {}, peer);
+  net.run_for(std::chrono::seconds(1));
+  return 0;
+}
--- a/fuzz/replay.cpp
+++ b/fuzz/replay.cpp
@@ -1,4 +1,5 @@
-// Gives every seed of a directory to a fuzz target, without libFuzzer: what once crashed stays a test in any build.
+// Gives every seed of a directory to a fuzz target, without libFuzzer: what once crashed stays a test in any
+// build.
 #include <cstdint>
 #include <filesystem>
 #include <fstream>
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -206,7 +206,7 @@
   if (version.size() != 8 || version.substr(0, 5) != "HTTP/" || version[6] != '.' || hex(version[5]) < 0 ||
       hex(version[7]) < 0 || version[5] > '9' || version[7] > '9')
     return bad(400, "the version is not HTTP/x.y");
-  if (version[5] != '1') return bad(505, "only HTTP/1.0 and HTTP/1.1 are spoken");
+  if (version[5] != '1') return bad(505, "versions other than 1.0 and 1.1 are not spoken");
   request_.minor = version[7] == '0' ? 0 : 1;
   part_ = Part::kHeaders;
   return State::kMore;
--- a/src/ledger/lmdb.cpp
+++ b/src/ledger/lmdb.cpp
@@ -29,6 +29,9 @@
 
 constexpr std::size_t kLongestKey = 500;  // LMDB takes 511
 constexpr Duration kTryAgain = std::chrono::seconds(1);
+constexpr Duration kUnawaited =
+    std::chrono::milliseconds(20);    // a word that no commit waits for is written so soon
+constexpr std::size_t kCompany = 32;  // commits that need not wait for more company
 constexpr const char* kHead = "laureltide-ledger ";
 
 // Long names keep their beginning, for order, and a digest of the whole.
@@ -210,8 +213,9 @@
 
   void give(std::string key, std::optional<std::string> value) {
     const std::lock_guard lock(mutex_);
+    const bool first = given_.back().empty();
     given_.back().words[std::move(key)] = std::move(value);
-    woken_.notify_one();
+    if (first) woken_.notify_one();  // a commit wakes the thread for the rest
   }
 
   void run(const std::stop_token& stop) {
@@ -219,8 +223,12 @@
     while (true) {
       woken_.wait(lock, stop, [this] { return !given_.front().empty(); });
       if (given_.front().empty()) return;  // asked to stop, and nothing is left
-      if (options_.gather > Duration(0) && !stop.stop_requested())
-        woken_.wait_for(lock, stop, options_.gather, [] { return false; });
+      // What nobody waits for goes with what somebody does: most of it is overtaken by a later word
+      // meanwhile.
+      woken_.wait_for(lock, stop, kUnawaited, [this] { return !given_.front().done.empty(); });
+      if (options_.gather > Duration(0) && given_.front().done.size() < kCompany && !stop.stop_requested())
+        woken_.wait_for(lock, stop, options_.gather,
+                        [this] { return given_.front().done.size() >= kCompany; });
       auto batch = std::make_shared<Batch>(std::move(given_.front()));
       given_.pop_front();
       if (given_.empty()) given_.emplace_back();
--- a/tests/apps/programs_test.cpp
+++ b/tests/apps/programs_test.cpp
@@ -108,6 +108,58 @@
   EXPECT_GT(doc["redelivered"].get<int>(), 0);  // the drop and the crash gave calls back
 }
 
+// Real processes, real kills: at every step of a call in turn, by each front and in each mode.
+class Days : public Programs, public testing::WithParamInterface<const char*> {};
+TEST_P(Days, KillsAtEveryStepKeepTheRules) {
+  const std::string report = dir + "/report.json";
+  EXPECT_EQ(run({"laureltide-play", kExamples + "/" + GetParam() + ".toml", "--report", report, "--keep",
+                 dir + "/day"}),
+            0)
+      << slurp(report) << log();
+  const auto doc = nlohmann::json::parse(slurp(report), nullptr, false);
+  ASSERT_TRUE(doc.is_object());
+  EXPECT_GT(doc["classes"]["release"]["served"].get<int>(), 50);
+  EXPECT_EQ(run({"laureltide", "ledger", "verify", dir + "/day/ledger-0"}), 0) << log();
+}
+INSTANTIATE_TEST_SUITE_P(Ledger, Days, testing::Values("ledger-day", "owed-day", "http-day", "deferred-day"),
+                         [](const auto& info) {
+                           std::string name = info.param;
+                           std::replace(name.begin(), name.end(), '-', '_');
+                           return name;
+                         });
+
+TEST_F(Programs, LedgerToolsReadWhatAGatewayLeft) {
+  const std::string none = dir + "/none";
+  EXPECT_EQ(run({"laureltide", "ledger", "list", none}), 1);
+  EXPECT_NE(log().find("no readable file 'version'"), std::string::npos) << log();
+  std::string text = slurp(kExamples + "/gateway.toml");
+  text.replace(text.find("examples/workers.json"), 21,
+               write("workers.json", slurp(kExamples + "/workers.json")));
+  const PortReserve nobody;
+  text.replace(text.find("127.0.0.1:5672"), 14, "127.0.0.1:" + std::to_string(nobody.port()));
+  const std::string file = write("g.toml", text + "\n[ledger]\ndirectory = \"" + dir + "/l\"\n");
+  {
+    Child gateway({kBin + "/laureltide", "serve", "--config", file}, dir + "/log");
+    ASSERT_TRUE(logged("ledger: 0 records read"));
+    EXPECT_EQ(run({"laureltide", "serve", "--config", file}), 1);
+    EXPECT_NE(log().find("in use by another process"), std::string::npos) << log();
+    EXPECT_EQ(run({"laureltide", "ledger", "verify", dir + "/l"}), 0);
+    EXPECT_EQ(run({"laureltide", "ledger", "compact", dir + "/l", dir + "/copy"}), 0);
+  }
+  EXPECT_EQ(run({"laureltide", "ledger", "show", dir + "/copy", "c-1"}), 1);
+  write("l/version", "laureltide-ledger 9\n");
+  EXPECT_EQ(run({"laureltide", "serve", "--config", file}), 1);
+  EXPECT_NE(log().find("version 9, newer than this program's 1"), std::string::npos) << log();
+}
+
+TEST_F(Programs, KeysAreDrawnAndHashed) {
+  Child child({kBin + "/laureltide", "key"}, dir + "/log");
+  std::string token, hash;
+  ASSERT_TRUE(child.read_line(token, 30s) && child.read_line(hash, 30s));
+  EXPECT_EQ(token.substr(0, 10), "token  lt_");
+  EXPECT_EQ(hash.size(), 7U + 64U);
+}
+
 TEST_F(Programs, PlayTellsABrokenRuleAndABadDayApart) {
   std::string day = slurp(kExamples + "/smoke-day.toml");
   // A patience that nothing can meet, and no grace: rule 1 cannot be kept.
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -109,7 +109,10 @@
 
 // Found by fuzzing: the library reads past its tables on such a key (fuzz/seeds/config).
 TEST(Settings, BareKeysBeyondAsciiAreRefusedBeforeTheLibrarySeesThem) {
-  const Checked checked = parse("[gateway]\n\xce\xb6" "6 = 1\n", "g.toml");
+  const Checked checked = parse(
+      "[gateway]\n\xce\xb6"
+      "6 = 1\n",
+      "g.toml");
   ASSERT_EQ(checked.problems.size(), 1U);
   EXPECT_EQ(checked.problems[0].show(), "g.toml:2: expected ASCII outside of quotes and comments");
 }
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -117,6 +117,27 @@
 }
 
 // Slowloris: a byte now and then keeps nothing open.
+// On the whole path too: the status that says why, and then the connection ends.
+TEST_F(HttpServer, MalformedRequestsAreAnsweredWithTheirStatus) {
+  start();
+  for (const auto& [bytes, status] : std::vector<std::pair<std::string, int>>{
+           {"GET / HTTP/1.1\r\n\r\n", 400},
+           {"GET / HTTP/2.0\r\n\r\n", 505},
+           {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n", 413},
+           {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n", 501},
+           {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nExpect: x\r\n\r\n", 417},
+           {"GET /" + std::string(20'000, 'x') + " HTTP/1.1\r\nHost: a\r\n\r\n", 414},
+           {"GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n", 431}}) {
+    Raw client(net, at);
+    client.say(bytes);
+    net.run_for(1s);
+    EXPECT_EQ(client.heard.substr(0, 12), "HTTP/1.1 " + std::to_string(status)) << client.heard.substr(0, 80);
+    EXPECT_TRUE(client.closed);
+    EXPECT_EQ(client.answers(), 1U);
+  }
+  EXPECT_TRUE(requests.empty());
+}
+
 TEST_F(HttpServer, AHeadThatDripsIsGivenUp) {
   start();
   Raw client(net, at);
--- a/tests/ledger/lmdb_test.cpp
+++ b/tests/ledger/lmdb_test.cpp
@@ -3,6 +3,7 @@
 #include "ledger/lmdb.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -280,6 +281,75 @@
   EXPECT_NE(o.why.find(dir + "/l"), std::string::npos) << o.why;
 }
 
+// A disk that refuses writes for another reason than space: nothing more is told as kept, for good.
+TEST_F(Lmdb, AWriteThatFailsIsSaidForGood) {
+  fill(10);
+  int pipes[2];
+  ASSERT_EQ(pipe(pipes), 0);
+  const pid_t child = fork();
+  if (child == 0) {
+    signal(SIGXFSZ, SIG_IGN);
+    Mail own;
+    LmdbOptions o;
+    o.directory = dir + "/l", o.most_mb = 64;
+    Opened opened = open_lmdb(o, own.post());
+    struct Heard : StoreEvents {
+      bool for_good = false, well = false;
+      void on_trouble(const std::string&, bool good) override { for_good = good; }
+      void on_well() override { well = true; }
+    } heard;
+    opened.store->serve(&heard);
+    const rlimit limit{fs::file_size(file()), fs::file_size(file())};
+    setrlimit(RLIMIT_FSIZE, &limit);
+    bool kept = false;
+    for (int i = 0; i < 100; ++i) opened.store->put("k" + std::to_string(i), value(std::string(4000, 'x')));
+    opened.store->commit([&] { kept = true; });
+    own.run_until([&] { return heard.for_good || kept; });
+    const char said = heard.for_good && !kept ? 'y' : 'n';
+    const ssize_t ignored = write(pipes[1], &said, 1);
+    _exit(ignored == 1 ? 0 : 1);
+  }
+  close(pipes[1]);
+  char said = '?';
+  ASSERT_EQ(read(pipes[0], &said, 1), 1);
+  close(pipes[0]);
+  int status = 0;
+  waitpid(child, &status, 0);
+  EXPECT_EQ(said, 'y');
+  Opened o = open();  // what was kept before is there
+  ASSERT_TRUE(o.store) << o.why;
+  EXPECT_EQ(all(*o.store).size(), 10U);
+}
+
+// A read-only disk, as whoever may not write there sees it.
+TEST_F(Lmdb, AReadOnlyDirectoryIsSaid) {
+  fill(10);
+  for (const auto& entry : fs::directory_iterator(dir + "/l"))
+    fs::permissions(entry.path(), fs::perms::owner_read | fs::perms::others_read);
+  fs::permissions(dir + "/l", fs::perms(0555));
+  fs::permissions(dir, fs::perms(0755));
+  int pipes[2];
+  ASSERT_EQ(pipe(pipes), 0);
+  const pid_t child = fork();
+  if (child == 0) {
+    if (geteuid() == 0 && setuid(65534) != 0) _exit(2);
+    const std::string why = open().why;
+    const ssize_t ignored = write(pipes[1], why.data(), why.size());
+    _exit(ignored >= 0 ? 0 : 1);
+  }
+  close(pipes[1]);
+  std::string why(512, '\0');
+  const ssize_t n = read(pipes[0], why.data(), why.size());
+  close(pipes[0]);
+  int status = 0;
+  waitpid(child, &status, 0);
+  fs::permissions(dir + "/l", fs::perms(0755));
+  for (const auto& entry : fs::directory_iterator(dir + "/l")) fs::permissions(entry.path(), fs::perms(0644));
+  ASSERT_GT(n, 0);
+  EXPECT_NE(why.find("cannot be written: Permission denied"), std::string::npos) << why.c_str();
+  EXPECT_TRUE(open().store);
+}
+
 TEST_F(Lmdb, CompactCopiesWhileItIsInUse) {
   fill();
   Opened o = open();
