Ledger's store takes bytes, not strings; commits are counted

A profile showed a third of the gateway's time in malloc and free, much of it across threads: the loop allocated what the writer freed. The batch is one run of bytes now, the writer keeps its own index of the last word on each key, and commits are counted instead of carrying a function each.

--- a/src/ledger/book.cpp
+++ b/src/ledger/book.cpp
@@ -52,7 +52,7 @@
     Entry& e = entries_[k];
     e.record = std::move(*record);
     e.stored = true;
-    weigh(k, e, 0);
+    weigh(k, e);
     // What nobody brings again waits for this gateway; the rest for its message or client, and not for ever.
     const bool waits = e.record.owed && !e.record.delivered;
     if (!waits)
@@ -96,25 +96,39 @@
 
 // ---- A call's life ----------------------------------------------------------------------------------------
 
-void Book::weigh(const std::string& key, Entry& e, std::size_t before) {
-  e.size = e.record.size() + key.size();
-  bytes_ += e.size - before;
-  Usage& u = usage_[front_of(key)];
-  u.bytes += e.size - before;
-  if (before == 0) ++u.records;
+void Book::weigh(const std::string& key, Entry& e) {
+  if (!e.usage) {
+    e.usage = &usage_[front_of(key)];
+    ++e.usage->records;
+  }
+  const std::size_t size = e.record.size() + key.size();
+  bytes_ += size - e.size;
+  e.usage->bytes += size - e.size;
+  e.size = size;
 }
 
 void Book::write(const std::string& key, Entry& e) {
-  weigh(key, e, e.size);
+  weigh(key, e);
   e.stored = true;
-  store_.put(key, write_record(e.record));
+  write_record(scratch_, e.record);
+  store_.put(key, scratch_);
 }
 
-void Book::commit(Done done) {
+void Book::commit(Done done, const char* then) {
   ++commits_;
-  store_.commit([done = std::move(done), alive = alive_] {
-    if (*alive && done) done();
-  });
+  waiting_.push_back({std::move(done), then, false});
+  store_.commit();
+}
+
+void Book::on_durable(std::size_t commits) {
+  const std::shared_ptr<bool> alive = alive_;
+  while (commits-- > 0 && !waiting_.empty()) {
+    const Waiting next = std::move(waiting_.front());
+    waiting_.pop_front();
+    if (next.then) step(next.then);
+    if (next.done) next.done();
+    if (!*alive) return;
+  }
 }
 
 void Book::expire_at(const std::string& key, Entry& e, std::int64_t at_ms) {
@@ -127,14 +141,11 @@
   Entry& e = entries_[key];
   e.record = std::move(record);
   e.held = true;
-  weigh(key, e, 0);
+  weigh(key, e);
   if (!e.record.owed) return;
   write(key, e);
   step("take-queued");
-  commit([this, done = std::move(done)] {
-    step("take-durable");
-    if (done) done();
-  });
+  commit(std::move(done), "take-durable");
 }
 
 void Book::resume(const std::string& key, bool fresh) {
@@ -163,10 +174,7 @@
   e->record.attempts.push_back({worker, now_ms(), Fate::kOut});
   write(key, *e);
   step("attempt-queued");
-  commit([this, done = std::move(done)] {
-    step("attempt-durable");
-    if (done) done();
-  });
+  commit(std::move(done), "attempt-durable");
   return number;
 }
 
@@ -193,16 +201,8 @@
   step("answer-queued");
   if (!done) return;
   if (!well()) return done();  // a disk that does not write must not make answers late
-  const std::uint64_t ticket = next_impatient_++;
-  impatient_.emplace(ticket, std::move(done));
-  commit([this, ticket] {
-    const auto it = impatient_.find(ticket);
-    if (it == impatient_.end()) return;
-    const Done ready = std::move(it->second);
-    impatient_.erase(it);
-    step("answer-durable");
-    ready();
-  });
+  commit(std::move(done), "answer-durable");
+  waiting_.back().impatient = true;
 }
 
 void Book::delivered(const std::string& key, Delivered how, std::int64_t keep_ms) {
@@ -242,10 +242,9 @@
 
 void Book::remove(Entries::iterator it) {
   const std::string key = it->first;
-  Usage& u = usage_[front_of(key)];
   bytes_ -= it->second.size;
-  u.bytes -= it->second.size;
-  if (--u.records == 0) usage_.erase(front_of(key));
+  it->second.usage->bytes -= it->second.size;
+  --it->second.usage->records;
   if (it->second.stored) store_.erase(key);
   entries_.erase(it);
 }
@@ -307,7 +306,10 @@
   const bool news = trouble_.empty();
   trouble_ = why + (for_good ? "; the gateway must be restarted" : "");
   // Answers that wait for the disk would come too late: they leave, and a crash now may give them again.
-  for (auto& [ticket, done] : std::exchange(impatient_, {})) done();
+  std::vector<Done> late;
+  for (Waiting& w : waiting_)
+    if (std::exchange(w.impatient, false)) late.push_back(std::exchange(w.done, nullptr)), w.then = nullptr;
+  for (const Done& done : late) done();
   if (news && on_state) on_state(false);
 }
 
--- a/src/ledger/book.h
+++ b/src/ledger/book.h
@@ -9,6 +9,7 @@
 // so that a clock that jumps neither forgets nor prolongs anything within a life.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -110,6 +111,7 @@
   // ---- StoreEvents ----
   void on_trouble(const std::string& why, bool for_good) override;
   void on_well() override;
+  void on_durable(std::size_t commits) override;
 
  private:
   struct Entry {
@@ -118,12 +120,13 @@
     bool held = false;            // of this life
     bool stored = false;          // the store has been given some state of it
     std::int64_t expires_ms = 0;  // 0: not while it is open here
+    Usage* usage = nullptr;       // of its front
   };
   using Entries = std::unordered_map<std::string, Entry>;
   Entry* entry(const std::string& key);
   void write(const std::string& key, Entry& entry);
-  void weigh(const std::string& key, Entry& entry, std::size_t before);
-  void commit(Done done);
+  void weigh(const std::string& key, Entry& entry);
+  void commit(Done done, const char* then = nullptr);
   void expire_at(const std::string& key, Entry& entry, std::int64_t at_ms);
   void remove(Entries::iterator it);
   void sweep();
@@ -132,14 +135,19 @@
   Store& store_;
   BookOptions options_;
   Entries entries_;
-  std::map<std::string, Usage> usage_;
+  std::map<std::string, Usage> usage_;  // by front: as many as the settings name
   std::multimap<std::int64_t, std::string> expiries_;
   std::map<std::string, bool> tenures_;  // front to whether it is whole
   std::size_t bytes_ = 0;
   std::uint64_t commits_ = 0;
   std::string trouble_;
-  std::map<std::uint64_t, Done> impatient_;  // answers that wait for a commit, and may not wait long
-  std::uint64_t next_impatient_ = 1;
+  struct Waiting {
+    Done done;
+    const char* then = nullptr;  // the step that it is
+    bool impatient = false;      // an answer, which may not wait long
+  };
+  std::deque<Waiting> waiting_;  // for commits, in order
+  std::string scratch_;
   std::int64_t wall_start_ms_;
   Time start_;
   std::unique_ptr<io::Timer> sweep_;
--- a/src/ledger/lmdb.cpp
+++ b/src/ledger/lmdb.cpp
@@ -14,9 +14,9 @@
 #include <deque>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <mutex>
 #include <thread>
-#include <unordered_map>
 #include <utility>
 
 #include "base/bytes.h"
@@ -42,16 +42,6 @@
   std::string out(key.substr(0, kLongestKey - sizeof digest));
   return out.append(reinterpret_cast<const char*>(digest), sizeof digest);
 }
-// The value carries its whole key.
-std::string stored_value(std::string_view key, std::string_view value) {
-  std::string out;
-  out.reserve(4 + key.size() + value.size());
-  Writer w(out);
-  w.u32(static_cast<std::uint32_t>(key.size()));
-  w.bytes(key), w.bytes(value);
-  return out;
-}
-
 MDB_val val(std::string_view text) { return {text.size(), const_cast<char*>(text.data())}; }
 std::string_view view(const MDB_val& v) { return {static_cast<const char*>(v.mv_data), v.mv_size}; }
 
@@ -191,30 +181,38 @@
     ::close(lock_);
   }
   void serve(StoreEvents* events) override { events_ = events; }
-  void put(std::string key, std::string value) override { give(std::move(key), std::move(value)); }
-  void erase(std::string key) override { give(std::move(key), std::nullopt); }
-  void commit(std::function<void()> done) override {
+  void put(std::string_view key, std::string_view value) override { give(kPut, key, value); }
+  void erase(std::string_view key) override { give(kErase, key, {}); }
+  void commit() override {
     const std::lock_guard lock(mutex_);
-    given_.back().done.push_back(std::move(done));
+    const std::size_t waiting = ++given_.back().commits;
     if (options_.sync == LmdbOptions::Sync::kEach) given_.emplace_back();
-    woken_.notify_one();
+    if (waiting == 1 || waiting == kCompany) woken_.notify_one();
   }
   void load(const std::function<void(std::string_view, std::string_view)>& each) override {
     each_of(env_.get(), each);
   }
 
  private:
+  static constexpr char kPut = 'p', kErase = 'e';
+  // What was given since the last sync, as one run of bytes: an operation, the length of what follows, and
+  // for a put the entry's value as it is stored: the length of its key, the key, the record. Nothing in it is
+  // allocated on one thread and freed on another.
   struct Batch {
-    // The last word on a key counts; what came and went between two syncs is never written.
-    std::unordered_map<std::string, std::optional<std::string>> words;
-    std::vector<std::function<void()>> done;
-    bool empty() const { return words.empty() && done.empty(); }
+    std::string words;
+    std::size_t commits = 0;
+    bool empty() const { return words.empty() && commits == 0; }
   };
 
-  void give(std::string key, std::optional<std::string> value) {
+  void give(char what, std::string_view key, std::string_view value) {
     const std::lock_guard lock(mutex_);
-    const bool first = given_.back().empty();
-    given_.back().words[std::move(key)] = std::move(value);
+    Batch& batch = given_.back();
+    const bool first = batch.empty();
+    Writer w(batch.words);
+    w.u8(static_cast<std::uint8_t>(what));
+    w.u32(static_cast<std::uint32_t>(4 + key.size() + value.size()));
+    w.u32(static_cast<std::uint32_t>(key.size()));
+    w.bytes(key), w.bytes(value);
     if (first) woken_.notify_one();  // a commit wakes the thread for the rest
   }
 
@@ -225,16 +223,17 @@
       if (given_.front().empty()) return;  // asked to stop, and nothing is left
       // What nobody waits for goes with what somebody does: most of it is overtaken by a later word
       // meanwhile.
-      woken_.wait_for(lock, stop, kUnawaited, [this] { return !given_.front().done.empty(); });
-      if (options_.gather > Duration(0) && given_.front().done.size() < kCompany && !stop.stop_requested())
-        woken_.wait_for(lock, stop, options_.gather,
-                        [this] { return given_.front().done.size() >= kCompany; });
-      auto batch = std::make_shared<Batch>(std::move(given_.front()));
+      woken_.wait_for(lock, stop, kUnawaited, [this] { return given_.front().commits > 0; });
+      if (options_.gather > Duration(0) && given_.front().commits < kCompany && !stop.stop_requested())
+        woken_.wait_for(lock, stop, options_.gather, [this] { return given_.front().commits >= kCompany; });
+      Batch batch = std::move(given_.front());
       given_.pop_front();
-      if (given_.empty()) given_.emplace_back();
+      if (given_.empty()) given_.emplace_back().words = std::move(spare_);  // its room is used again
       lock.unlock();
-      const bool written = keep_at(*batch, stop);
+      const bool written = keep_at(batch, stop);
       lock.lock();
+      batch.words.clear();
+      spare_ = std::move(batch.words);
       if (!written) return;
     }
   }
@@ -251,29 +250,31 @@
       woken_.wait_for(lock, stop, kTryAgain, [] { return false; });
     }
     if (troubled) tell([](StoreEvents& e) { e.on_well(); });
-    if (!batch.done.empty())
-      post_([done = std::move(batch.done), alive = alive_] {
-        for (const auto& each : done)
-          if (*alive) each();
-      });
+    if (batch.commits > 0) tell([n = batch.commits](StoreEvents& e) { e.on_durable(n); });
     return true;
   }
 
   int write(const Batch& batch) {
+    // The last word on a key counts; what came and went between two syncs is never written.
+    last_.clear();
+    for (std::size_t at = 0; at < batch.words.size();) {
+      Reader r(std::string_view(batch.words).substr(at));
+      r.u8();
+      const std::string_view entry = r.take(r.u32());
+      Reader e(entry);
+      last_[e.take(e.u32())] = at;
+      at += 5 + entry.size();
+    }
     MDB_txn* txn = nullptr;
     if (const int error = mdb_txn_begin(env_.get(), nullptr, 0, &txn)) return error;
-    for (const auto& [key, value] : batch.words) {
-      const std::string k = stored_key(key);
-      MDB_val mk = val(k);
-      int error = 0;
-      if (value) {
-        const std::string v = stored_value(key, *value);
-        MDB_val mv = val(v);
-        error = mdb_put(txn, dbi_, &mk, &mv, 0);
-      } else {
-        error = mdb_del(txn, dbi_, &mk, nullptr);
-        if (error == MDB_NOTFOUND) error = 0;
-      }
+    for (const auto& [key, at] : last_) {
+      Reader r(std::string_view(batch.words).substr(at));
+      const char what = static_cast<char>(r.u8());
+      MDB_val value = val(r.take(r.u32()));
+      const std::string stored = stored_key(key);
+      MDB_val mk = val(stored);
+      int error = what == kPut ? mdb_put(txn, dbi_, &mk, &value, 0) : mdb_del(txn, dbi_, &mk, nullptr);
+      if (what == kErase && error == MDB_NOTFOUND) error = 0;
       if (error) {
         mdb_txn_abort(txn);
         return error;
@@ -298,6 +299,9 @@
   std::mutex mutex_;
   std::condition_variable_any woken_;
   std::deque<Batch> given_{1};  // never empty; more than one only with a sync for each commit
+  std::string spare_;
+  std::map<std::string_view, std::size_t>
+      last_;  // the writer's: where in a batch the last word on a key is, in order
   std::jthread thread_;
 };
 
--- a/src/ledger/memory.cpp
+++ b/src/ledger/memory.cpp
@@ -9,16 +9,16 @@
 MemoryStore::MemoryStore(io::Host& host, MemoryDisk& disk)
     : host_(host), disk_(disk), timer_(host.timer([this] { sync(); })) {}
 
-void MemoryStore::put(std::string key, std::string value) {
-  given_.emplace_back(std::move(key), std::move(value));
+void MemoryStore::put(std::string_view key, std::string_view value) {
+  given_.emplace_back(key, std::string(value));
   gather();
 }
-void MemoryStore::erase(std::string key) {
-  given_.emplace_back(std::move(key), std::nullopt);
+void MemoryStore::erase(std::string_view key) {
+  given_.emplace_back(key, std::nullopt);
   gather();
 }
-void MemoryStore::commit(std::function<void()> done) {
-  waiting_.push_back(std::move(done));
+void MemoryStore::commit() {
+  ++waiting_;
   gather();
 }
 void MemoryStore::load(const std::function<void(std::string_view, std::string_view)>& each) {
@@ -29,7 +29,7 @@
 void MemoryStore::gather() {
   if (busy_) return;
   busy_ = true;
-  syncing_ = std::exchange(given_, {}), synced_ = std::exchange(waiting_, {});
+  syncing_ = std::exchange(given_, {}), synced_ = std::exchange(waiting_, 0);
   const auto spread = static_cast<std::uint64_t>((disk_.most_delay - disk_.least_delay).count() + 1);
   timer_->start(disk_.least_delay + Duration(static_cast<std::int64_t>(host_.random() % spread)));
 }
@@ -44,8 +44,9 @@
     value ? void(disk_.data[key] = std::move(*value)) : void(disk_.data.erase(key));
   busy_ = false;
   if (std::exchange(troubled_, false) && events_) events_->on_well();
-  for (const auto& done : std::exchange(synced_, {})) done();
-  if (!busy_ && (!given_.empty() || !waiting_.empty())) gather();
+  const std::size_t durable = std::exchange(synced_, 0);
+  if (!given_.empty() || waiting_ > 0) gather();
+  if (durable > 0 && events_) events_->on_durable(durable);  // the last thing: it may end this store
 }
 
 }  // namespace laureltide::ledger
--- a/src/ledger/record.cpp
+++ b/src/ledger/record.cpp
@@ -39,6 +39,12 @@
 
 std::string write_record(const Record& record) {
   std::string out;
+  write_record(out, record);
+  return out;
+}
+
+void write_record(std::string& out, const Record& record) {
+  out.clear();
   out.reserve(record.size() + 64);
   Writer w(out);
   w.u8(kRecordLayout);
@@ -62,7 +68,6 @@
   w.u8(record.delivered);
   w.u64(static_cast<std::uint64_t>(record.keep_until_ms));
   w.u64(checksum(out));
-  return out;
 }
 
 std::optional<Record> parse_record(std::string_view bytes, std::string& why) {
--- a/src/ledger/record.h
+++ b/src/ledger/record.h
@@ -60,6 +60,7 @@
 // minor versions may add fields at the end, which are passed over.
 constexpr std::uint8_t kRecordLayout = 1;
 std::string write_record(const Record& record);
+void write_record(std::string& out, const Record& record);  // in place of what `out` held
 // Nothing, with `why`, on bytes that are damaged or of a later layout.
 std::optional<Record> parse_record(std::string_view bytes, std::string& why);
 
--- a/src/ledger/store.h
+++ b/src/ledger/store.h
@@ -20,17 +20,20 @@
   // The store cannot write; what it was given waits and is tried again, unless `for_good`.
   virtual void on_trouble(const std::string& why, bool for_good) = 0;
   virtual void on_well() = 0;  // all that waited is written
+  // So many more commits, in the order in which they were asked for, are on disk.
+  virtual void on_durable(std::size_t commits) = 0;
 };
 
 class Store {
  public:
   virtual ~Store() = default;
   virtual void serve(StoreEvents* events) = 0;
-  virtual void put(std::string key, std::string value) = 0;
-  virtual void erase(std::string key) = 0;
-  // `done` comes, in order, once all that was put and erased before is on disk. It never comes from within
-  // the call, and not at all when the process ends first.
-  virtual void commit(std::function<void()> done) = 0;
+  // The bytes are copied.
+  virtual void put(std::string_view key, std::string_view value) = 0;
+  virtual void erase(std::string_view key) = 0;
+  // on_durable counts it once all that was put and erased before is on disk; never from within the call, and
+  // not at all when the process ends first.
+  virtual void commit() = 0;
   // Everything the store held when it was opened.
   virtual void load(const std::function<void(std::string_view key, std::string_view value)>& each) = 0;
 };
@@ -48,9 +51,9 @@
  public:
   MemoryStore(io::Host& host, MemoryDisk& disk);
   void serve(StoreEvents* events) override { events_ = events; }
-  void put(std::string key, std::string value) override;
-  void erase(std::string key) override;
-  void commit(std::function<void()> done) override;
+  void put(std::string_view key, std::string_view value) override;
+  void erase(std::string_view key) override;
+  void commit() override;
   void load(const std::function<void(std::string_view, std::string_view)>& each) override;
 
  private:
@@ -61,7 +64,7 @@
   MemoryDisk& disk_;
   StoreEvents* events_ = nullptr;
   std::vector<std::pair<std::string, std::optional<std::string>>> given_, syncing_;
-  std::vector<std::function<void()>> waiting_, synced_;
+  std::size_t waiting_ = 0, synced_ = 0;
   bool busy_ = false, troubled_ = false;
   std::unique_ptr<io::Timer> timer_;
 };
