--- a/src/ledger/book.cpp
+++ b/src/ledger/book.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr Duration kSweepEvery = std::chrono::seconds(1);
+constexpr Duration kSweepPause = std::chrono::milliseconds(2);
+constexpr std::size_t kSweptAtOnce = 200;
+constexpr Duration kBehind = std::chrono::milliseconds(20);
 constexpr const char* kTenure = "\x01tenure";  // a front's name never begins so
 
 std::string front_of(const std::string& key) { return split_key(key).first; }
@@ -19,11 +22,13 @@
       options_(options),
       wall_start_ms_(host.unix_ms()),
       start_(host.now()),
-      sweep_(host.timer([this] { sweep(); })) {
+      sweep_(host.timer([this] { sweep(); })),
+      behind_timer_(host.timer([this] { flush(); })) {
   store_.serve(this);
   sweep_->start(kSweepEvery);
 }
 Book::~Book() {
+  flush();
   *alive_ = false;
   store_.serve(nullptr);
 }
@@ -35,30 +40,36 @@
 std::optional<std::string> Book::load() {
   std::optional<std::string> bad;
   const std::int64_t keep = std::chrono::duration_cast<std::chrono::milliseconds>(options_.keep).count();
+  entries_.reserve(store_.entries());
+  std::string last_front;
+  Usage* last_usage = nullptr;
+  std::string why;
   store_.load([&](std::string_view key, std::string_view value) {
-    auto [front, name] = split_key(key);
+    const std::string_view front = key.substr(0, key.find('\0'));
     if (front == kTenure) {
-      tenures_[name] = value == "whole";
+      tenures_[std::string(key.substr(front.size() + 1))] = value == "whole";
       return;
     }
-    if (front.empty() || front[0] == '\x01') return;  // the store's own
-    std::string why;
+    if (front.empty() || front[0] == '\x01' || bad) return;  // the store's own
     auto record = parse_record(value, why);
     if (!record) {
-      if (!bad) bad = "record of " + front + " / " + name + ": " + why;
+      const auto [f, name] = split_key(key);
+      bad = "record of " + f + " / " + name + ": " + why;
       return;
     }
-    const std::string k(key);
-    Entry& e = entries_[k];
+    if (!last_usage || front != last_front) last_front = front, last_usage = &usage_[last_front];
+    const auto [it, fresh] = entries_.try_emplace(std::string(key));
+    Entry& e = it->second;
     e.record = std::move(*record);
     e.stored = true;
-    weigh(k, e);
+    e.usage = last_usage;
+    ++e.usage->records;
+    weigh(it->first, e);
     // What nobody brings again waits for this gateway; the rest for its message or client, and not for ever.
     const bool waits = e.record.owed && !e.record.delivered;
-    if (!waits)
-      expire_at(
-          k, e,
-          e.record.keep_until_ms > 0 ? e.record.keep_until_ms : std::max(e.record.taken_ms, now_ms()) + keep);
+    const std::int64_t until =
+        e.record.keep_until_ms > 0 ? e.record.keep_until_ms : std::max(e.record.taken_ms, now_ms()) + keep;
+    if (!waits) expire_at(it->first, e, until);
   });
   return bad;
 }
@@ -109,11 +120,25 @@
 
 void Book::write(const std::string& key, Entry& e) {
   weigh(key, e);
-  e.stored = true;
+  e.stored = true, e.behind = false;
   write_record(scratch_, e.record);
   store_.put(key, scratch_);
 }
 
+// What nobody waits for is written a moment later, if it still matters then: an answer whose message is
+// acknowledged meanwhile needs no record.
+void Book::write_behind(const std::string& key, Entry& e) {
+  weigh(key, e);
+  if (std::exchange(e.behind, true)) return;
+  if (behind_.empty()) behind_timer_->start(kBehind);
+  behind_.push_back(key);
+}
+
+void Book::flush() {
+  for (const std::string& key : std::exchange(behind_, {}))
+    if (Entry* e = entry(key); e && e->behind) write(key, *e);
+}
+
 void Book::commit(Done done, const char* then) {
   ++commits_;
   waiting_.push_back({std::move(done), then, false});
@@ -182,7 +207,7 @@
   Entry* e = entry(key);
   if (!e || number >= e->record.attempts.size()) return;
   e->record.attempts[number].fate = Fate::kNeverRan;
-  write(key, *e);
+  write_behind(key, *e);
   step("attempt-ended");
 }
 
@@ -197,9 +222,12 @@
   // An answer that leaves together with its acknowledgement needs no record of its own, unless there is one
   // that would say something else.
   if (!done && !e->stored) return;
+  if (!done) {
+    write_behind(key, *e);
+    return step("answer-queued");
+  }
   write(key, *e);
   step("answer-queued");
-  if (!done) return;
   if (!well()) return done();  // a disk that does not write must not make answers late
   commit(std::move(done), "answer-durable");
   waiting_.back().impatient = true;
@@ -250,9 +278,12 @@
 }
 
 void Book::sweep() {
-  sweep_->start(kSweepEvery);
   const std::int64_t now = now_ms();
+  std::size_t turn = 0;
+  sweep_->start(kSweepEvery);
   while (!expiries_.empty() && expiries_.begin()->first <= now) {
+    // Many that expire at once go in turns, between which calls go on.
+    if (++turn > kSweptAtOnce) return sweep_->start(kSweepPause);
     const auto [at, key] = *expiries_.begin();
     expiries_.erase(expiries_.begin());
     const auto it = entries_.find(key);
--- a/src/ledger/book.h
+++ b/src/ledger/book.h
@@ -119,12 +119,15 @@
     std::size_t size = 0;
     bool held = false;            // of this life
     bool stored = false;          // the store has been given some state of it
+    bool behind = false;          // it has changed since, and is written soon
     std::int64_t expires_ms = 0;  // 0: not while it is open here
     Usage* usage = nullptr;       // of its front
   };
   using Entries = std::unordered_map<std::string, Entry>;
   Entry* entry(const std::string& key);
   void write(const std::string& key, Entry& entry);
+  void write_behind(const std::string& key, Entry& entry);
+  void flush();
   void weigh(const std::string& key, Entry& entry);
   void commit(Done done, const char* then = nullptr);
   void expire_at(const std::string& key, Entry& entry, std::int64_t at_ms);
@@ -150,7 +153,8 @@
   std::string scratch_;
   std::int64_t wall_start_ms_;
   Time start_;
-  std::unique_ptr<io::Timer> sweep_;
+  std::vector<std::string> behind_;
+  std::unique_ptr<io::Timer> sweep_, behind_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/ledger/lmdb.cpp
+++ b/src/ledger/lmdb.cpp
@@ -129,7 +129,7 @@
   std::string bad;
   const std::string why = each_of(env.get(), [&](std::string_view key, std::string_view value) {
     std::string reason;
-    if (!key.empty() && key[0] != '\x01' && !parse_record(value, reason) && bad.empty()) {
+    if (!key.empty() && key[0] != '\x01' && bad.empty() && !check_record(value, reason)) {
       const auto [front, name] = split_key(key);
       bad = "record of " + front + " / " + name + ": " + reason;
     }
@@ -189,6 +189,11 @@
     if (options_.sync == LmdbOptions::Sync::kEach) given_.emplace_back();
     if (waiting == 1 || waiting == kCompany) woken_.notify_one();
   }
+  std::size_t entries() const override {
+    MDB_stat stat{};
+    mdb_env_stat(env_.get(), &stat);
+    return stat.ms_entries;
+  }
   void load(const std::function<void(std::string_view, std::string_view)>& each) override {
     each_of(env_.get(), each);
   }
--- a/src/ledger/record.cpp
+++ b/src/ledger/record.cpp
@@ -70,15 +70,23 @@
   w.u64(checksum(out));
 }
 
-std::optional<Record> parse_record(std::string_view bytes, std::string& why) {
-  if (bytes.size() < 9) return why = "too short for a record", std::nullopt;
-  if (static_cast<std::uint8_t>(bytes[0]) > kRecordLayout)
-    return why = "layout " + std::to_string(static_cast<int>(static_cast<std::uint8_t>(bytes[0]))) +
-                 " is newer than this program's " + std::to_string(kRecordLayout),
-           std::nullopt;
+bool check_record(std::string_view bytes, std::string& why) {
+  if (bytes.size() < 9) return why = "too short for a record", false;
+  const int layout = static_cast<std::uint8_t>(bytes[0]);
+  if (layout > kRecordLayout) {
+    why =
+        "layout " + std::to_string(layout) + " is newer than this program's " + std::to_string(kRecordLayout);
+    return false;
+  }
   const std::string_view content = bytes.substr(0, bytes.size() - 8);
   if (Reader(bytes.substr(content.size())).u64() != checksum(content))
-    return why = "the checksum does not match", std::nullopt;
+    return why = "the checksum does not match", false;
+  return true;
+}
+
+std::optional<Record> parse_record(std::string_view bytes, std::string& why) {
+  if (!check_record(bytes, why)) return std::nullopt;
+  const std::string_view content = bytes.substr(0, bytes.size() - 8);
   Reader r(content);
   Record record;
   r.u8();
--- a/src/ledger/record.h
+++ b/src/ledger/record.h
@@ -62,6 +62,9 @@
 std::string write_record(const Record& record);
 void write_record(std::string& out, const Record& record);  // in place of what `out` held
 // Nothing, with `why`, on bytes that are damaged or of a later layout.
+// Whether the bytes are whole and of a layout that can be read, by their checksum alone: cheaper than reading
+// them.
+bool check_record(std::string_view bytes, std::string& why);
 std::optional<Record> parse_record(std::string_view bytes, std::string& why);
 
 // "front / call" as one key, and back. A front's name holds no zero byte.
--- a/src/ledger/store.h
+++ b/src/ledger/store.h
@@ -34,6 +34,8 @@
   // on_durable counts it once all that was put and erased before is on disk; never from within the call, and
   // not at all when the process ends first.
   virtual void commit() = 0;
+  // About as many as load() gives.
+  virtual std::size_t entries() const = 0;
   // Everything the store held when it was opened.
   virtual void load(const std::function<void(std::string_view key, std::string_view value)>& each) = 0;
 };
@@ -54,6 +56,7 @@
   void put(std::string_view key, std::string_view value) override;
   void erase(std::string_view key) override;
   void commit() override;
+  std::size_t entries() const override { return disk_.data.size(); }
   void load(const std::function<void(std::string_view, std::string_view)>& each) override;
 
  private:
