Broker and gateway die together on real sockets; repeated answers are judged

HTTP clients ask again for a part of what they were answered, under the same key; the judge holds that to the first answer, and follows calls under the id that the gateway gave them. Answers that may come twice must be the same ones, by their own ids.

--- a/src/apps/play.cpp
+++ b/src/apps/play.cpp
@@ -213,6 +213,7 @@
       }
       for (const std::string& tenant : tenants_of(day_)) o.tokens[tenant] = token_of(tenant);
       o.deferred = day_.deferred;
+      o.repeat = day_.repeat;
       invoker_ = std::make_unique<lt::standin::Invoker>(loop_, o, tape_);
       invoker_->on_answer = [this](const std::string& call, const lt::standin::Caller::Answered& a) {
         if (open_.erase(call) > 0) ++outcomes_[a.outcome];
@@ -236,7 +237,7 @@
   }
   // A gateway that killed itself comes back, to die at the next step.
   void look_at_deaths() {
-    if (deaths_ < day_.die_at.size() && !gateways_[0]->running()) {
+    if (deaths_ < day_.die_at.size() && !killed_.contains(0) && !gateways_[0]->running()) {
       ++deaths_;
       gateways_[0] = gateway(0);
     }
@@ -274,8 +275,8 @@
     if (t.kind == TroubleKind::kBalancerCrash)
       for (const std::uint32_t n : t.gateways) {
         if (n >= day_.gateways) continue;
-        script_->add(t.at, [this, n] { gateways_[n]->signal(SIGKILL); });
-        script_->add(t.at + t.length, [this, n] { gateways_[n] = gateway(n); });
+        script_->add(t.at, [this, n] { killed_.insert(n), gateways_[n]->signal(SIGKILL); });
+        script_->add(t.at + t.length, [this, n] { killed_.erase(n), gateways_[n] = gateway(n); });
       }
     if (t.kind == TroubleKind::kBalancerRoll)
       for (std::size_t i = 0; i < t.gateways.size(); ++i) {
@@ -385,6 +386,7 @@
   std::unique_ptr<lt::standin::Script> script_;
   std::unique_ptr<lt::io::Timer> begin_, next_call_, progress_, death_look_;
   std::size_t deaths_ = 0;
+  std::set<std::uint32_t> killed_;  // by the day's order, until it has them back
   lt::Time start_{};
   lt::Duration due_{};
   std::uint16_t broker_port_ = 0;
--- a/src/check/judge.cpp
+++ b/src/check/judge.cpp
@@ -35,6 +35,7 @@
     }
   };
   std::vector<Answer> answers;
+  std::vector<Answer> again;  // what the same request met when it was made again under its key
   std::vector<std::pair<double, std::string>> published;  // answers as they left a gateway
   std::vector<Attempt> attempts;
   std::vector<std::pair<double, std::string>> ran;
@@ -106,6 +107,9 @@
       } else if (what == "answer") {
         calls_[name].answers.push_back(
             {t, e.value("outcome", ""), e.value("reason", ""), e.value("id", ""), e.value("bytes", 0.0)});
+      } else if (what == "again") {
+        calls_[name].again.push_back({t, e.value("outcome", ""), "", "", e.value("bytes", 0.0)});
+        ++verdict_.asked_again;
       } else if (what == "published") {
         if (const std::string c = e.value("correlation", "");
             e.value("exchange", "").empty() && e.value("call", "").empty())
@@ -209,6 +213,12 @@
         broken(1, "call " + name + " was taken by " + c.deliveries.back().second + " at " +
                       seconds(c.deliveries.back().first) + " and never answered");
     }
+    // A name that was answered is answered the same, by whoever is asked and however many lives later.
+    for (const auto& a : c.again)
+      if (c.answers.empty() || a.outcome != c.answers.front().outcome || a.bytes != c.answers.front().bytes)
+        broken(1, "call " + name + " was asked for again at " + seconds(a.at) + " and met " + a.outcome +
+                      ", " + std::to_string(static_cast<int>(a.bytes)) + " bytes; it had been answered " +
+                      (c.answers.empty() ? "never" : c.answers.front().outcome));
     for (const auto& a : c.answers) {
       if (a.outcome != "served" && a.outcome != "refused" && a.outcome != "failed")
         broken(1, "call " + name + " was answered with outcome '" + a.outcome + "'");
@@ -415,10 +425,17 @@
                        {"unanswered", c.untaken},
                        {"p50_ms", 1000 * quantile(c.latency_s, 0.5)},
                        {"p99_ms", 1000 * quantile(c.latency_s, 0.99)}};
-  return {{"kept", kept()},      {"rules", per_rule}, {"classes", per_class},
-          {"calls", calls},      {"taken", taken},    {"attempts", attempts},
-          {"runs", runs},        {"holds", holds},    {"redelivered", redelivered},
-          {"repeated", repeated}};
+  return {{"kept", kept()},
+          {"rules", per_rule},
+          {"classes", per_class},
+          {"calls", calls},
+          {"taken", taken},
+          {"attempts", attempts},
+          {"runs", runs},
+          {"holds", holds},
+          {"redelivered", redelivered},
+          {"repeated", repeated},
+          {"asked_again", asked_again}};
 }
 
 }  // namespace laureltide::check
--- a/src/standin/broker.cpp
+++ b/src/standin/broker.cpp
@@ -680,6 +680,19 @@
   for (Connection* c : all)
     if (connections_.contains(c)) what(*c);
 }
+void Broker::crash() {
+  if (!listener_) return;
+  address_ = listener_->address();
+  tape_.note(host_.now(), "broker_crashed", nlohmann::json::object());
+  listener_.reset();
+  break_connections();
+}
+
+bool Broker::restart() {
+  tape_.note(host_.now(), "broker_started", nlohmann::json::object());
+  return listener_ || listen(address_);
+}
+
 void Broker::break_connections(const std::string& who) {
   each(who, [](Connection& c) { c.abort(); });
 }
--- a/src/standin/broker.h
+++ b/src/standin/broker.h
@@ -42,6 +42,10 @@
   void set_mute(bool mute, const std::string& who = "");  // sends nothing, heartbeats included
   void close_channels(amqp::ReplyCode code, const std::string& text, const std::string& who = "");
   void cancel_consumers(const std::string& who = "");
+  // All connections end and nothing listens until restart(). Durable messages survive, as on a disk; what was
+  // not acknowledged, or stood in an open transaction, is given again.
+  void crash();
+  bool restart();
   // Breaks the connection in place of the next n commit-ok: committed, but the client does not know.
   void lose_commits(int n) { lose_commit_ok_ = n; }
   // Breaks the connection when the next n commits arrive, before they are done.
@@ -105,6 +109,7 @@
   BrokerOptions options_;
   Tape& tape_;
   std::unique_ptr<io::Listener> listener_;
+  io::Address address_;  // where it listened before a crash
   std::map<std::string, Exchange> exchanges_;
   std::map<std::string, Queue> queues_;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
--- a/src/standin/day.cpp
+++ b/src/standin/day.cpp
@@ -42,6 +42,7 @@
                                KindName{"vanish", TroubleKind::kVanish},
                                KindName{"broker_drop", TroubleKind::kBrokerDrop},
                                KindName{"broker_deaf", TroubleKind::kBrokerDeaf},
+                               KindName{"broker_crash", TroubleKind::kBrokerCrash},
                                KindName{"channel_close", TroubleKind::kChannelClose},
                                KindName{"reset", TroubleKind::kReset},
                                KindName{"late_answer", TroubleKind::kLateAnswer},
@@ -277,6 +278,7 @@
   day.front = fleet.text("front", day.front);
   if (day.front != "amqp" && day.front != "http") fleet.wrong("front", "expected amqp or http");
   day.deferred = fleet.flag("deferred", false);
+  day.repeat = fleet.number("repeat", 0, 0, 1);
   day.ledger = fleet.flag("ledger", false);
   day.acknowledge_on_take = fleet.flag("acknowledge_on_take", false);
   day.sole_reader = fleet.flag("sole_reader", false);
@@ -493,6 +495,11 @@
 
 void script_broker(Script& script, const Day& day, Broker& broker) {
   auto gateway = [](std::uint32_t n) { return "gw-" + std::to_string(n); };
+  for (const Trouble& t : day.troubles)
+    if (t.kind == TroubleKind::kBrokerCrash) {
+      script.add(t.at, [&broker] { broker.crash(); });
+      script.add(t.at + t.length, [&broker] { broker.restart(); });
+    }
   for (const Trouble& t : day.troubles)
     for (const std::uint32_t n : t.gateways) {
       const std::string who = gateway(n);
--- a/src/standin/day.h
+++ b/src/standin/day.h
@@ -33,6 +33,7 @@
   kVanish,
   kBrokerDrop,
   kBrokerDeaf,
+  kBrokerCrash,
   kChannelClose,
   kReset,
   kLateAnswer,
@@ -83,6 +84,7 @@
   bool load_on_miss = false, confirm_mode = false;
   std::string front = "amqp";  // that calls come by: amqp, http
   bool deferred = false;       // HTTP: respond-async and polling
+  double repeat = 0;           // HTTP: the part of answered calls that is asked for again under its key
   bool ledger = false, acknowledge_on_take = false, sole_reader = false;
   // Where gateway 0 kills itself, life after life: steps of the ledger, such as "attempt-durable:20".
   std::vector<std::string> die_at;
--- a/src/standin/invoker.cpp
+++ b/src/standin/invoker.cpp
@@ -56,7 +56,7 @@
 void Invoker::ask(const std::string& name, http::Request request, const io::Address& to) {
   Open& open = *open_.at(name);
   ++open.tries;
-  if (request.method == "POST") {
+  if (request.method == "POST" && !open.again_asked) {
     const auto at = std::find(options_.gateways.begin(), options_.gateways.end(), to);
     const std::string who = at == options_.gateways.end()
                                 ? to.text()
@@ -117,6 +117,13 @@
     tape_.note(host_.now(), "turned_away",
                {{"call", name}, {"status", result.status}, {"body", result.body}});
   }
+  if (open.again_asked) {  // what was answered once is answered so again
+    tape_.note(host_.now(), "again",
+               {{"call", name},
+                {"outcome", outcome ? *outcome : "status " + std::to_string(result.status)},
+                {"bytes", result.status == 200 ? result.body.size() : 0}});
+    return dead_.bury(std::move(open_.extract(name).mapped()));
+  }
   Caller::Answered a;
   a.at = host_.now();
   a.outcome = outcome ? *outcome : "refused";
@@ -128,7 +135,13 @@
               {"reason", a.reason},
               {"bytes", a.body.size()},
               {"front", "http"}});
-  dead_.bury(std::move(open_.extract(name).mapped()));
+  if (outcome && *outcome != "refused" && host_.random_unit() < options_.repeat) {
+    open.again_asked = true;
+    open.location.clear();
+    open.again->start(options_.pause);
+  } else {
+    dead_.bury(std::move(open_.extract(name).mapped()));
+  }
   if (on_answer) on_answer(name, a);
 }
 
--- a/src/standin/invoker.h
+++ b/src/standin/invoker.h
@@ -19,6 +19,7 @@
   int tries = 100;
   Duration pause = std::chrono::milliseconds(100);
   bool deferred = false;  // Prefer: respond-async, and polling
+  double repeat = 0;      // the part of answered calls that is asked for once more under its key
 };
 
 class Invoker {
@@ -34,8 +35,9 @@
     CallToMake call;
     std::size_t gateway = 0;
     int tries = 0;
-    bool given = false;    // some gateway may have it
-    std::string location;  // of a deferred one
+    bool given = false;        // some gateway may have it
+    std::string location;      // of a deferred one
+    bool again_asked = false;  // it has its answer, and asks whether that stands
     Time until{};
     std::unique_ptr<http::Exchange> exchange;
     std::unique_ptr<io::Timer> again;
--- a/tests/check/judge_test.cpp
+++ b/tests/check/judge_test.cpp
@@ -178,5 +178,41 @@
   EXPECT_EQ(orders(5, 4), Rule{5});
 }
 
+// Answers that may come again must be the same ones, by their own ids.
+TEST(Judge, AnswersThatMayRepeatMustBeTheSame) {
+  Rules lenient = rules();
+  lenient.answers_may_repeat = true;
+  auto told = [](const char* id, const char* outcome) {
+    return json{{"call", "a"}, {"outcome", outcome}, {"id", id}, {"bytes", 3}};
+  };
+  auto tape = [&](const char* id, const char* outcome) {
+    Tape t;
+    t.add(0, "sent", {{"call", "a"}, {"class", "safe"}, {"function", "f"}, {"patience_ms", 3000}});
+    t.given("a", 0.01).attempt("a", 1, 0, 0.02).ran("a", 1, 0.03);
+    t.add(0.1, "answer", told("a/1", "served")).add(0.2, "answer", told(id, outcome));
+    return t;
+  };
+  EXPECT_TRUE(tape("a/1", "served").breaks(lenient).empty());
+  EXPECT_EQ(tape("a/1", "served").breaks(), std::vector<int>{1});
+  EXPECT_EQ(tape("a/1", "failed").breaks(lenient), std::vector<int>{1});
+  EXPECT_EQ(tape("a/2", "served").breaks(lenient), std::vector<int>{1});
+  EXPECT_EQ(tape("", "served").breaks(lenient), std::vector<int>{1});
+}
+
+// Workers know an HTTP call by the gateway's id; asked for again, it must be answered as it was.
+TEST(Judge, NamedCallsAreFollowedAndAskedAgain) {
+  auto tape = [](const char* again) {
+    Tape t;
+    t.add(0, "sent", {{"call", "a"}, {"class", "once"}, {"function", "f"}, {"patience_ms", 3000}});
+    t.given("a", 0.01).attempt("0-id", 1, 0, 0.02).ran("0-id", 1, 0.03);
+    t.add(0.1, "named", {{"call", "a"}, {"id", "0-id"}});
+    t.add(0.1, "answer", {{"call", "a"}, {"outcome", "served"}, {"bytes", 3}});
+    return t.add(0.2, "again", {{"call", "a"}, {"outcome", again}, {"bytes", 3}});
+  };
+  EXPECT_TRUE(tape("served").breaks().empty());
+  EXPECT_EQ(tape("failed").breaks(), std::vector<int>{1});
+  EXPECT_EQ(tape("served").ran("0-id", 2, 0.5).breaks(), std::vector<int>{2});
+}
+
 }  // namespace
 }  // namespace laureltide::check
--- a/tests/ledger/restart_test.cpp
+++ b/tests/ledger/restart_test.cpp
@@ -302,10 +302,12 @@
       ASSERT_TRUE(town.wait_answer("warm"));
       const std::string name = town.call("gate");
       town.net.run_for(step * 3ms);
-      town.broker.break_connections();
+      town.broker.crash();
       town.kill_gateway();
       town.net.run_for(300ms);
       town.start_gateway();
+      town.net.run_for(200ms);
+      ASSERT_TRUE(town.broker.restart());
       // What the client had not confirmed it would send again; here it had all the time to be.
       ASSERT_TRUE(town.run_to_the_end({})) << step;
       EXPECT_LE(town.ran(name), 1U) << step;
