--- a/src/check/judge.h
+++ b/src/check/judge.h
@@ -43,7 +43,8 @@
 struct Verdict {
   std::vector<Break> breaks;
   std::map<std::string, ClassCount> classes;
-  std::uint64_t calls = 0, taken = 0, attempts = 0, runs = 0, holds = 0, redelivered = 0, repeated = 0, asked_again = 0;
+  std::uint64_t calls = 0, taken = 0, attempts = 0, runs = 0, holds = 0, redelivered = 0, repeated = 0,
+                asked_again = 0;
   bool kept() const { return breaks.empty(); }
   nlohmann::json report() const;
 };
--- a/tests/controller/claim_test.cpp
+++ b/tests/controller/claim_test.cpp
@@ -75,8 +75,8 @@
   EXPECT_EQ(parse_key("\"8e03\""), "8e03");
   EXPECT_EQ(parse_key(" bare "), "bare");
   EXPECT_EQ(parse_key(R"("a\"b\\")"), "a\"b\\");
-  for (const std::string bad : {"", "\"\"", "\"open", "\"a\"b\"", "\"a\\x\"", "\"a\\", "a\x01", "\xc3\xa9",
-                                std::string(256, 'x').c_str()})
+  for (const std::string& bad : std::vector<std::string>{"", "\"\"", "\"open", "\"a\"b\"", "\"a\\x\"",
+                                                         "\"a\\", "a\x01", "\xc3\xa9", std::string(256, 'x')})
     EXPECT_FALSE(parse_key(bad)) << bad;
 }
 
