--- a/src/controller/trigger.cpp
+++ b/src/controller/trigger.cpp
@@ -410,18 +410,16 @@
       return turn_away(queue, std::move(parsed.delivery), Answer::Kind::kRefused,
                        "too many messages of this name wait for one call", name);
     const ledger::ReplyTo to{parsed.delivery.reply_to, parsed.delivery.correlation_id};
-    return book_->add_reply(key, to,
-                            [this, &queue, name, key, to, delivery = parsed.delivery, alive = alive_] {
-                              if (!*alive) return;
-                              acknowledge(queue, name, delivery);
-                              const ledger::Record* record = book_->find(key);
-                              if (!record || !record->answer || to.to.empty()) return;
-                              ++queue.unpublished[name];
-                              answer(queue, {name,
-                                             {0, 0, to.to, to.correlation},
-                                             std::make_shared<Answer>(told(name, *record)),
-                                             true});
-                            });
+    return book_->add_reply(
+        key, to, [this, &queue, name, key, to, delivery = parsed.delivery, alive = alive_] {
+          if (!*alive) return;
+          acknowledge(queue, name, delivery);
+          const ledger::Record* record = book_->find(key);
+          if (!record || !record->answer || to.to.empty()) return;
+          ++queue.unpublished[name];
+          answer(queue,
+                 {name, {0, 0, to.to, to.correlation}, std::make_shared<Answer>(told(name, *record)), true});
+        });
   }
   const ledger::Ruling ruling =
       book_->on_message(queue.front, name, parsed.effect, parsed.redelivered && !known);
