One place takes up the calls an earlier life owed, for both fronts

Trigger and invoke front each had their own copy of the class's effect and of what an owed record becomes under today's settings. controller/owed is both, without I/O; the fronts keep how they answer.

--- a/src/controller/invoke.cpp
+++ b/src/controller/invoke.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "controller/owed.h"
+
 namespace laureltide::controller {
 namespace {
 
@@ -27,11 +29,6 @@
   return o;
 }
 
-ledger::Effect effect_of(const RequestClass& c) {
-  return {c.semantics, c.group,
-          std::chrono::duration_cast<std::chrono::milliseconds>(c.repeat_window).count()};
-}
-
 std::int64_t ms(Duration d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
 
 }  // namespace
@@ -535,18 +532,8 @@
     const std::string record_key = key(tenant, id);
     const ledger::Record* record = book_->find(record_key);
     if (!record || record->delivered || open_.contains(id)) continue;
-    const config::Function* function = settings.find(record->function);
-    const ledger::Effect effect =
-        function ? effect_of(settings.module.classes[function->request_class]) : ledger::Effect{};
-    const std::int64_t now = book_->now_ms();
-    ledger::Ruling ruling = ledger::rule_on_owed(*record, effect, now);
-    bool runs = ruling.verdict == ledger::Verdict::kRun || ruling.verdict == ledger::Verdict::kRunUntil;
-    if (runs && !function) {
-      runs = false;
-      ruling.verdict = record->may_have_run() ? ledger::Verdict::kFail : ledger::Verdict::kRefuse;
-      ruling.reason = "the settings no longer name its function " + record->function;
-    }
-    if (ruling.verdict == ledger::Verdict::kAnswer) {
+    Owed owed = take_up(settings, record_key, *record, book_->now_ms());
+    if (!owed.call && !owed.end) {
       if (!record->callback.empty())
         give_callback(id, tenant);
       else
@@ -555,20 +542,13 @@
     }
     Open& open = open_[id];
     open.tenant = tenant, open.digest = record->digest, open.recorded = open.deferred = open.taken = true;
-    book_->resume(record_key, ruling.verdict == ledger::Verdict::kRun);
-    if (!runs) {
-      const bool refused = ruling.verdict == ledger::Verdict::kRefuse;
-      ended(id, {refused ? Answer::Kind::kRefused : Answer::Kind::kFailed, ruling.reason, {}, {}, {}});
+    book_->resume(record_key, owed.fresh);
+    if (owed.end) {
+      ended(id, std::move(*owed.end));
       continue;
     }
-    Call call;
-    call.name = id, call.function = function, call.key = record->key, call.body = record->body;
-    call.record = record_key, call.tenant = tenant;
-    const std::int64_t until = ruling.verdict == ledger::Verdict::kRunUntil
-                                   ? std::min(ruling.until_ms, record->give_up_ms)
-                                   : record->give_up_ms;
-    call.patience = std::chrono::milliseconds(until - now);
-    run(id, std::move(call));
+    owed.call->tenant = tenant;  // the front's own word for whose it is
+    run(id, std::move(*owed.call));
   }
   if (!backlog_.empty()) room_->start(kRoomLook);
 }
--- a/src/controller/trigger.cpp
+++ b/src/controller/trigger.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "controller/owed.h"
+
 namespace laureltide::controller {
 namespace {
 
@@ -36,11 +38,6 @@
   return answer;
 }
 
-ledger::Effect effect_of(const RequestClass& c) {
-  return {c.semantics, c.group,
-          std::chrono::duration_cast<std::chrono::milliseconds>(c.repeat_window).count()};
-}
-
 }  // namespace
 
 TriggerFront::TriggerFront(io::Host& host, Core& core, config::Broker broker, std::string gateway_name,
@@ -500,41 +497,14 @@
     const ledger::Record* record = book_->find(key);
     if (!record || record->delivered) continue;
     const std::string name = ledger::split_key(key).second;
-    const config::Settings& settings = core_.settings();
-    const config::Function* function = settings.find(record->function);
-    const ledger::Effect effect =
-        function ? effect_of(settings.module.classes[function->request_class]) : ledger::Effect{};
-    const std::int64_t now = book_->now_ms();
-    ledger::Ruling ruling = ledger::rule_on_owed(*record, effect, now);
-    const bool run = ruling.verdict == ledger::Verdict::kRun || ruling.verdict == ledger::Verdict::kRunUntil;
-    if (run && !function) {
-      ruling.verdict = record->may_have_run() ? ledger::Verdict::kFail : ledger::Verdict::kRefuse;
-      ruling.reason = "the settings no longer name its function " + record->function;
-    }
-    book_->resume(key, ruling.verdict == ledger::Verdict::kRun);
-    switch (ruling.verdict) {
-      case ledger::Verdict::kRun:
-      case ledger::Verdict::kRunUntil: {
-        Call call;
-        call.name = name, call.function = function, call.key = record->key, call.body = record->body;
-        call.record = key;
-        if (!record->tenant.empty()) call.tenant = settings.tenant(record->tenant);
-        const std::int64_t until = ruling.verdict == ledger::Verdict::kRunUntil
-                                       ? std::min(ruling.until_ms, record->give_up_ms)
-                                       : record->give_up_ms;
-        call.patience = std::chrono::milliseconds(until - now);
-        run_owed(queue, name, std::move(call));
-        break;
-      }
-      case ledger::Verdict::kRefuse:
-        owed_ended(queue, name, {Answer::Kind::kRefused, ruling.reason, {}, {}, {}});
-        break;
-      case ledger::Verdict::kFail:
-        owed_ended(queue, name, {Answer::Kind::kFailed, ruling.reason, {}, {}, {}});
-        break;
-      case ledger::Verdict::kAnswer: publish_owed(queue, name); break;
-      case ledger::Verdict::kAcknowledge: break;
-    }
+    Owed owed = take_up(core_.settings(), key, *record, book_->now_ms());
+    book_->resume(key, owed.fresh);
+    if (owed.call)
+      run_owed(queue, name, std::move(*owed.call));
+    else if (owed.end)
+      owed_ended(queue, name, *owed.end);
+    else
+      publish_owed(queue, name);
   }
   while (queue.backlog.empty() && !queue.parked.empty() && room_for(queue).empty()) {
     Parsed parsed = std::move(queue.parked.front());
