Chunked, shared layers: format, box agent and fetch scheduler

Every load fetched a whole function from the one store. A box now has an agent that fetches each chunk once for all of its workers: content-defined chunks in OCI artifacts, a fetch scheduler and a shelf without I/O, pins and leases, one whole version at a time, a disk that is never believed wrongly after a kill, an HTTP API for workers, `laureltide layers` to pack, push, inspect and verify, and a stand-in of an OCI store with its faults.

--- a/bench/hops.cpp
+++ b/bench/hops.cpp
@@ -21,7 +21,7 @@
 #include "amqp/endpoint.h"
 #include "http/message.h"
 #include "ledger/book.h"
-#include "ledger/lmdb.h"
+#include "store/lmdb.h"
 #include "net/loop.h"
 #include "worker/server.h"
 
@@ -491,9 +491,9 @@
 
 int fill(const Options& o) {
   lt::net::Loop loop;
-  lt::ledger::LmdbOptions lmdb;
+  lt::store::LmdbOptions lmdb;
   lmdb.directory = o.directory;
-  auto opened = lt::ledger::open_lmdb(lmdb, [&](std::function<void()> what) { loop.post(std::move(what)); });
+  auto opened = lt::store::open_lmdb(lmdb, [&](std::function<void()> what) { loop.post(std::move(what)); });
   if (!opened.store) return std::cerr << opened.why << '\n', 1;
   for (std::size_t i = 0; i < o.records; ++i) {
     lt::ledger::Record r;
@@ -504,7 +504,7 @@
     opened.store->put(lt::ledger::key_of("amqp/broker-0/calls", "call-" + std::to_string(i)),
                       lt::ledger::write_record(r));
   }
-  struct Events : lt::ledger::StoreEvents {
+  struct Events : lt::store::StoreEvents {
     lt::net::Loop* loop = nullptr;
     void on_trouble(const std::string& why, bool) override { std::cerr << why << '\n', loop->stop(); }
     void on_well() override {}
--- a/src/apps/laureltide.cpp
+++ b/src/apps/laureltide.cpp
@@ -16,11 +16,12 @@
 #include <sstream>
 #include <thread>
 
+#include "apps/layers_tool.h"
 #include "apps/ledger_tool.h"
 #include "config/settings.h"
 #include "controller/gateway.h"
 #include "controller/keyring.h"
-#include "ledger/lmdb.h"
+#include "store/lmdb.h"
 #include "net/loop.h"
 
 namespace lt = laureltide;
@@ -75,10 +76,11 @@
 
 spdlog::level::level_enum level_of(const std::string& name) { return spdlog::level::from_str(name); }
 
-lt::ledger::LmdbOptions lmdb_options(const lt::config::Ledger& ledger) {
-  using Sync = lt::ledger::LmdbOptions::Sync;
-  lt::ledger::LmdbOptions o;
+lt::store::LmdbOptions lmdb_options(const lt::config::Ledger& ledger) {
+  using Sync = lt::store::LmdbOptions::Sync;
+  lt::store::LmdbOptions o;
   o.directory = ledger.directory, o.most_mb = ledger.most_mb, o.gather = ledger.gather;
+  o.check = lt::ledger::check_entry;
   o.sync = ledger.sync == lt::config::LedgerSync::kEach   ? Sync::kEach
            : ledger.sync == lt::config::LedgerSync::kNone ? Sync::kNone
                                                           : Sync::kGroup;
@@ -169,7 +171,7 @@
  private:
   void open_ledger(DieAt die_at) {
     const auto began = loop_.now();
-    auto opened = lt::ledger::open_lmdb(lmdb_options(settings_->ledger),
+    auto opened = lt::store::open_lmdb(lmdb_options(settings_->ledger),
                                         [this](std::function<void()> what) { loop_.post(std::move(what)); });
     if (!opened.store) throw std::runtime_error(opened.why);
     store_ = std::move(opened.store);
@@ -222,7 +224,7 @@
   lt::net::Loop loop_;
   bool json_;
   std::unique_ptr<Keeper> keeper_;
-  std::unique_ptr<lt::ledger::Store> store_;
+  std::unique_ptr<lt::store::Store> store_;
   std::unique_ptr<lt::ledger::Book> book_;
   std::unique_ptr<lt::controller::Gateway> gateway_;
   std::unique_ptr<lt::io::Timer> poll_;
@@ -287,12 +289,15 @@
       app.add_subcommand("key", "draw a bearer key: the token for the client, the hash for [[key]]");
   lt::apps::LedgerTool ledger;
   ledger.add_to(app);
+  lt::apps::LayersTool layers;
+  layers.add_to(app);
   CLI::App* check =
       app.add_subcommand("check", "say every error of a settings file; exit 0 when there is none, else 2");
   check->add_option("-c,--config", file, "settings (TOML)")->required();
   CLI11_PARSE(app, argc, argv);
 
   if (app.got_subcommand("ledger")) return ledger.run();
+  if (app.got_subcommand("layers")) return layers.run();
   if (*key) return draw_key();
   auto settings = load_or_tell(file);
   if (!settings) return kBadSettings;
--- a/src/apps/ledger_tool.cpp
+++ b/src/apps/ledger_tool.cpp
@@ -4,7 +4,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
-#include "ledger/lmdb.h"
+#include "store/lmdb.h"
 #include "ledger/record.h"
 
 namespace laureltide::apps {
@@ -90,13 +90,15 @@
 }
 
 int LedgerTool::run() const {
+  store::LmdbOptions options;
+  options.directory = directory, options.check = ledger::check_entry;
   if (*compact) {
-    const std::string why = ledger::copy_compact(directory, to);
+    const std::string why = store::copy_compact(options, to);
     if (!why.empty()) return std::cerr << "laureltide ledger: " << why << '\n', 1;
     return std::cout << directory << " copied to " << to << '\n', 0;
   }
   std::size_t shown = 0, open = 0;
-  const ledger::Walked walked = ledger::walk(directory, [&](std::string_view key, std::string_view value) {
+  const store::Walked walked = store::walk(options, [&](std::string_view key, std::string_view value) {
     std::string why;
     const auto record = ledger::parse_record(value, why);
     const auto [f, n] = ledger::split_key(key);
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -73,8 +73,10 @@
   switch (status) {
     case 100: return "Continue";
     case 200: return "OK";
+    case 201: return "Created";
     case 202: return "Accepted";
     case 204: return "No Content";
+    case 206: return "Partial Content";
     case 307: return "Temporary Redirect";
     case 400: return "Bad Request";
     case 401: return "Unauthorized";
@@ -83,8 +85,10 @@
     case 405: return "Method Not Allowed";
     case 408: return "Request Timeout";
     case 409: return "Conflict";
+    case 410: return "Gone";
     case 413: return "Content Too Large";
     case 414: return "URI Too Long";
+    case 416: return "Range Not Satisfiable";
     case 417: return "Expectation Failed";
     case 422: return "Unprocessable Content";
     case 429: return "Too Many Requests";
@@ -94,6 +98,7 @@
     case 502: return "Bad Gateway";
     case 503: return "Service Unavailable";
     case 504: return "Gateway Timeout";
+    case 507: return "Insufficient Storage";
     case 505: return "HTTP Version Not Supported";
     default: return "Unknown";
   }
--- a/src/ledger/book.cpp
+++ b/src/ledger/book.cpp
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-Book::Book(io::Host& host, Store& store, BookOptions options)
+Book::Book(io::Host& host, store::Store& store, BookOptions options)
     : host_(host),
       store_(store),
       options_(options),
--- a/src/ledger/book.h
+++ b/src/ledger/book.h
@@ -17,7 +17,7 @@
 #include "base/io.h"
 #include "ledger/record.h"
 #include "ledger/ruling.h"
-#include "ledger/store.h"
+#include "store/store.h"
 
 namespace laureltide::ledger {
 
@@ -41,10 +41,10 @@
                                   "answer-given", "commit-sent",   "commit-known",   "delivered-queued",
                                   "owed-found",   "callback-given"};
 
-class Book : public StoreEvents {
+class Book : public store::StoreEvents {
  public:
   using Done = std::function<void()>;
-  Book(io::Host& host, Store& store, BookOptions options);
+  Book(io::Host& host, store::Store& store, BookOptions options);
   ~Book() override;
 
   // Reads the store. Nothing is served before; a reason if a record cannot be read, and then nothing may be.
@@ -135,7 +135,7 @@
   void sweep();
 
   io::Host& host_;
-  Store& store_;
+  store::Store& store_;
   BookOptions options_;
   Entries entries_;
   std::map<std::string, Usage> usage_;  // by front: as many as the settings name
--- a/src/ledger/record.cpp
+++ b/src/ledger/record.cpp
@@ -140,6 +140,13 @@
   return {std::string(key.substr(0, at)), std::string(key.substr(at + 1))};
 }
 
+std::string check_entry(std::string_view key, std::string_view value) {
+  std::string why;
+  if (check_record(value, why)) return {};
+  const auto [front, name] = split_key(key);
+  return "record of " + front + " / " + name + ": " + why;
+}
+
 std::string digest_of(std::initializer_list<std::string_view> parts) {
   XXH3_state_t state;
   XXH3_128bits_reset(&state);
--- a/src/ledger/record.h
+++ b/src/ledger/record.h
@@ -74,4 +74,7 @@
 // A digest of the parts, which may hold any bytes: 128 bits of XXH3 over their lengths and bytes.
 std::string digest_of(std::initializer_list<std::string_view> parts);
 
+// The ledger's check of an entry of its store (store::Check).
+std::string check_entry(std::string_view key, std::string_view value);
+
 }  // namespace laureltide::ledger
--- a/src/ledger/lmdb.cpp
+++ b/src/store/lmdb.cpp
@@ -1,4 +1,4 @@
-#include "ledger/lmdb.h"
+#include "store/lmdb.h"
 
 #include <fcntl.h>
 #include <lmdb.h>
@@ -20,9 +20,8 @@
 #include <utility>
 
 #include "base/bytes.h"
-#include "ledger/record.h"
 
-namespace laureltide::ledger {
+namespace laureltide::store {
 namespace {
 
 namespace fs = std::filesystem;
@@ -32,7 +31,6 @@
 constexpr Duration kUnawaited =
     std::chrono::milliseconds(20);    // a word that no commit waits for is written so soon
 constexpr std::size_t kCompany = 32;  // commits that need not wait for more company
-constexpr const char* kHead = "laureltide-ledger ";
 
 // Long names keep their beginning, for order, and a digest of the whole.
 std::string stored_key(std::string_view key) {
@@ -92,7 +90,9 @@
 }
 
 // The version file tells an empty ledger from one that was lost.
-std::string check_version(const std::string& directory, bool create) {
+std::string check_version(const LmdbOptions& options, bool create) {
+  const std::string& directory = options.directory;
+  const std::string head = "laureltide-" + options.what + " ";
   const std::string file = directory + "/version";
   std::ifstream in(file);
   if (!in) {
@@ -100,7 +100,7 @@
     if (!create || fs::exists(directory + "/data.mdb", error))
       return "no readable file 'version' in " + directory;
     const int fd = ::open(file.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, 0640);
-    const std::string text = kHead + std::to_string(kStoreVersion) + "\n";
+    const std::string text = head + std::to_string(kStoreVersion) + "\n";
     const bool well = fd >= 0 && ::write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()) &&
                       ::fsync(fd) == 0;
     const std::string why = well ? "" : directory + " cannot be written: " + std::strerror(errno);
@@ -110,45 +110,41 @@
   std::string line;
   std::getline(in, line);
   int version = 0;
-  if (line.rfind(kHead, 0) == 0) version = std::atoi(line.c_str() + std::strlen(kHead));
+  if (line.starts_with(head)) version = std::atoi(line.c_str() + head.size());
   if (version < 1) return "the file 'version' of " + directory + " is damaged";
   if (version > kStoreVersion)
-    return "the ledger in " + directory + " is of version " + std::to_string(version) +
+    return "the " + options.what + " in " + directory + " is of version " + std::to_string(version) +
            ", newer than this program's " + std::to_string(kStoreVersion) +
            "; start the newer program, or set the directory aside";
   struct stat data {};
   if (::stat((directory + "/data.mdb").c_str(), &data) == 0 && data.st_size == 0)
-    return "data.mdb is empty, though a ledger was made here";
+    return "data.mdb is empty, though a " + options.what + " was made here";
   return {};
 }
 
-std::string walk_here(const std::string& directory, unsigned flags,
+std::string walk_here(const LmdbOptions& options, unsigned flags,
                       const std::function<void(std::string_view, std::string_view)>& each) {
   Env env;
-  if (const std::string why = open_env(env, directory, flags, 0); !why.empty()) return why;
+  if (const std::string why = open_env(env, options.directory, flags, 0); !why.empty()) return why;
   std::string bad;
   const std::string why = each_of(env.get(), [&](std::string_view key, std::string_view value) {
-    std::string reason;
-    if (!key.empty() && key[0] != '\x01' && bad.empty() && !check_record(value, reason)) {
-      const auto [front, name] = split_key(key);
-      bad = "record of " + front + " / " + name + ": " + reason;
-    }
+    if (!key.empty() && key[0] != '\x01' && bad.empty() && options.check) bad = options.check(key, value);
     each(key, value);
   });
   return why.empty() ? bad : why;
 }
 
 // In a child process, whose end tells: a damaged page may crash whoever reads it.
-std::string walk_in_child(const std::string& directory) {
+std::string walk_in_child(const LmdbOptions& options) {
   int pipes[2];
   if (pipe(pipes) != 0) return "no pipe";
   const pid_t child = fork();
-  if (child < 0) return "no process to check the ledger with";
+  if (child < 0) return "no process to check the file with";
   if (child == 0) {
     const int null = open("/dev/null", O_WRONLY);
     dup2(null, STDERR_FILENO);
     const std::string why =
-        walk_here(directory, MDB_RDONLY | MDB_NOLOCK, [](std::string_view, std::string_view) {});
+        walk_here(options, MDB_RDONLY | MDB_NOLOCK, [](std::string_view, std::string_view) {});
     const ssize_t ignored = write(pipes[1], why.data(), why.size());
     _exit(ignored >= 0 && why.empty() ? 0 : 1);
   }
@@ -324,18 +320,19 @@
     return Opened{nullptr, why};
   };
   if (flock(lock, LOCK_EX | LOCK_NB) != 0)
-    return fail("the ledger in " + options.directory + " is in use by another process");
-  if (const std::string why = check_version(options.directory, true); !why.empty()) return fail(why);
+    return fail("the " + options.what + " in " + options.directory + " is in use by another process");
+  if (const std::string why = check_version(options, true); !why.empty()) return fail(why);
   if (fs::exists(options.directory + "/data.mdb", error))
-    if (const std::string why = walk_in_child(options.directory); !why.empty())
-      return fail("the ledger in " + options.directory + " cannot be used: " + why +
-                  "; set the directory aside, and see the page on the ledger for what that means");
+    if (const std::string why = walk_in_child(options); !why.empty())
+      return fail("the " + options.what + " in " + options.directory + " cannot be used: " + why +
+                  "; set the directory aside, and see the page on the " + options.what +
+                  " for what that means");
   Env env;
   // Read-ahead would only fill the cache with pages that are never looked at again.
   unsigned flags = MDB_NORDAHEAD | MDB_NOTLS;
   if (options.sync == LmdbOptions::Sync::kNone) flags |= MDB_NOSYNC;
   if (const std::string why = open_env(env, options.directory, flags, options.most_mb << 20); !why.empty())
-    return fail("the ledger in " + options.directory + " cannot be opened: " + why);
+    return fail("the " + options.what + " in " + options.directory + " cannot be opened: " + why);
   MDB_txn* txn = nullptr;
   MDB_dbi dbi = 0;
   int bad = mdb_txn_begin(env.get(), nullptr, 0, &txn);
@@ -344,20 +341,20 @@
     const int committed = mdb_txn_commit(txn);
     if (!bad) bad = committed;
   }
-  if (bad) return fail("the ledger in " + options.directory + " cannot be written: " + text_of(bad));
+  if (bad)
+    return fail("the " + options.what + " in " + options.directory + " cannot be written: " + text_of(bad));
   return {std::make_unique<LmdbStore>(options, std::move(env), dbi, lock, std::move(post)), {}};
 }
 
-Walked walk(const std::string& directory,
-            const std::function<void(std::string_view, std::string_view)>& each) {
+Walked walk(const LmdbOptions& options, const std::function<void(std::string_view, std::string_view)>& each) {
   Walked walked;
-  walked.why = check_version(directory, false);
+  walked.why = check_version(options, false);
   if (!walked.why.empty()) return walked;
-  walked.why = walk_in_child(directory);
+  walked.why = walk_in_child(options);
   if (!walked.why.empty()) return walked;
   std::error_code error;
-  walked.file_bytes = fs::file_size(directory + "/data.mdb", error);
-  walked.why = walk_here(directory, MDB_RDONLY, [&](std::string_view key, std::string_view value) {
+  walked.file_bytes = fs::file_size(options.directory + "/data.mdb", error);
+  walked.why = walk_here(options, MDB_RDONLY, [&](std::string_view key, std::string_view value) {
     if (key.empty() || key[0] == '\x01') return;
     ++walked.records, walked.bytes += key.size() + value.size();
     each(key, value);
@@ -365,10 +362,11 @@
   return walked;
 }
 
-std::string copy_compact(const std::string& from, const std::string& to) {
-  if (const std::string why = check_version(from, false); !why.empty()) return why;
+std::string copy_compact(const LmdbOptions& options, const std::string& to) {
+  const std::string& from = options.directory;
+  if (const std::string why = check_version(options, false); !why.empty()) return why;
   std::error_code error;
-  if (fs::exists(to + "/data.mdb", error)) return to + " holds a ledger already";
+  if (fs::exists(to + "/data.mdb", error)) return to + " holds one already";
   fs::create_directories(to, error);
   if (error) return to + " cannot be made: " + error.message();
   Env env;
@@ -378,4 +376,4 @@
   return error ? error.message() : std::string();
 }
 
-}  // namespace laureltide::ledger
+}  // namespace laureltide::store
--- a/src/ledger/lmdb.h
+++ b/src/store/lmdb.h
@@ -1,4 +1,4 @@
-// The ledger's store on LMDB, with its own thread for writes and syncs: the loop never waits for a disk.
+// The store on LMDB, with its own thread for writes and syncs: the loop never waits for a disk.
 //
 // Group commit: what is given while a sync is out goes with the next one, so many calls share a sync, and a
 // call waits for at most two. A directory has one writer at a time; readers (`laureltide ledger`) may come
@@ -9,14 +9,20 @@
 #include <memory>
 #include <string>
 
-#include "ledger/store.h"
+#include "store/store.h"
 
-namespace laureltide::ledger {
+namespace laureltide::store {
+
+// What is wrong with an entry; empty: nothing. The store's own entries, whose names begin with byte 1, are
+// not shown to it. Runs in a child process too.
+using Check = std::function<std::string(std::string_view key, std::string_view value)>;
 
 struct LmdbOptions {
   std::string directory;
-  std::size_t most_mb = 4096;  // of the file; over it nothing more is taken
-  Duration gather{};           // a commit waits so long for company
+  std::string what = "ledger";  // it holds: named in its version file and in messages
+  Check check;                  // of each entry when the file is walked; none: any bytes are well
+  std::size_t most_mb = 4096;   // of the file; over it nothing more is taken
+  Duration gather{};            // a commit waits so long for company
   enum class Sync {
     kGroup,  // one sync for all that came meanwhile
     kEach,   // one sync for each commit asked for: for comparison
@@ -36,14 +42,15 @@
 // that would crash a reader ends the child and is told.
 Opened open_lmdb(const LmdbOptions& options, std::function<void(std::function<void()>)> post);
 
-// For tools: reads a directory that a gateway may be using.
+// For tools: reads a directory that another process may be using.
 struct Walked {
   std::size_t records = 0, bytes = 0, file_bytes = 0;
   std::string why;  // the first thing that is wrong; empty: nothing
 };
-Walked walk(const std::string& directory,
+// `options`: its directory, what it holds, and the check.
+Walked walk(const LmdbOptions& options,
             const std::function<void(std::string_view key, std::string_view value)>& each);
-// A compact copy into another, new directory; safe while a gateway runs. A reason if it fails.
-std::string copy_compact(const std::string& from, const std::string& to);
+// A compact copy into another, new directory; safe while it is in use. A reason if it fails.
+std::string copy_compact(const LmdbOptions& from, const std::string& to);
 
-}  // namespace laureltide::ledger
+}  // namespace laureltide::store
--- a/src/ledger/memory.cpp
+++ b/src/store/memory.cpp
@@ -1,8 +1,8 @@
 #include <utility>
 
-#include "ledger/store.h"
+#include "store/store.h"
 
-namespace laureltide::ledger {
+namespace laureltide::store {
 
 constexpr Duration kTryAgain = std::chrono::milliseconds(100);
 
@@ -49,4 +49,4 @@
   if (durable > 0 && events_) events_->on_durable(durable);  // the last thing: it may end this store
 }
 
-}  // namespace laureltide::ledger
+}  // namespace laureltide::store
--- a/src/ledger/store.h
+++ b/src/store/store.h
@@ -1,5 +1,6 @@
-// Where the ledger's bytes are kept: an embedded store behind a seam, so that a test orders every delay, loss
-// and fault. All calls come on the loop's thread and return at once; what they lead to comes back on it.
+// Where what must outlive the process is kept: an embedded store behind a seam, so that a test orders every
+// delay, loss and fault. All calls come on the loop's thread and return at once; what they lead to comes back
+// on it.
 #pragma once
 
 #include <functional>
@@ -12,7 +13,7 @@
 
 #include "base/io.h"
 
-namespace laureltide::ledger {
+namespace laureltide::store {
 
 class StoreEvents {
  public:
@@ -72,4 +73,4 @@
   std::unique_ptr<io::Timer> timer_;
 };
 
-}  // namespace laureltide::ledger
+}  // namespace laureltide::store
--- a/tests/controller/invoke_test.cpp
+++ b/tests/controller/invoke_test.cpp
@@ -493,8 +493,8 @@
   town.config = std::make_shared<const config::Settings>(*config::parse(text(0), "0").settings);
   town.start_gateway();
   const auto other_settings = std::make_shared<const config::Settings>(*config::parse(text(1), "1").settings);
-  ledger::MemoryDisk disk;
-  ledger::MemoryStore store(town.net, disk);
+  store::MemoryDisk disk;
+  store::MemoryStore store(town.net, disk);
   ledger::Book book(town.net, store, {});
   ASSERT_FALSE(book.load());
   Log log;
--- /dev/null
+++ b/tests/layers/scheduler_test.cpp
@@ -0,0 +1,380 @@
+// What the scheduler keeps, each with a case that fails without it.
+#include "layers/scheduler.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+
+namespace laureltide::layers {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Fetches : testing::Test {
+  SchedulerOptions options;
+  std::unique_ptr<Scheduler> made;
+  Time now{1h};
+  std::uint64_t next_id = 1;
+  Scheduler& scheduler() {
+    if (!made) made = std::make_unique<Scheduler>(options, 42);
+    return *made;
+  }
+  std::uint64_t add(Level level, std::uint64_t function = 1, std::uint32_t tenant = 0,
+                    std::uint32_t bytes = 1000) {
+    Fetch f;
+    f.id = next_id++, f.level = level, f.tenant = tenant, f.function = function, f.bytes = bytes;
+    EXPECT_TRUE(scheduler().add(now, f));
+    return f.id;
+  }
+  std::vector<Start> start_all() {
+    std::vector<Start> all;
+    while (const auto s = scheduler().next(now)) all.push_back(*s);
+    return all;
+  }
+  Verdict end(const Start& s, FetchEnd how = FetchEnd::kWell, Duration retry = {}) {
+    return scheduler().ended(now, s.id, s.attempt, how, retry);
+  }
+};
+
+TEST_F(Fetches, CallsGoBeforeHoldsBeforeRenewalsBeforePrefetch) {
+  options.first_window = 1, options.share[2] = options.share[3] = 1;
+  const auto d = add(Level::kPrefetch), c = add(Level::kRenewal), b = add(Level::kHold),
+             a = add(Level::kCall);
+  for (const std::uint64_t wanted : {a, b, c, d}) {
+    const auto s = scheduler().next(now);
+    ASSERT_TRUE(s);
+    EXPECT_EQ(s->id, wanted);
+    end(*s);
+  }
+}
+
+TEST_F(Fetches, AReleaseLeavesRoomForCalls) {
+  options.first_window = 8, options.most_window = 8;
+  for (int i = 0; i < 100; ++i) add(Level::kRenewal);
+  EXPECT_EQ(start_all().size(), 4U);  // half of the window
+  add(Level::kCall);
+  EXPECT_EQ(start_all().size(), 1U);  // at once, with nothing ended
+}
+
+TEST_F(Fetches, WhatHasWaitedLongIsNotStarvedByCalls) {
+  options.first_window = 1, options.most_window = 1;
+  const auto old = add(Level::kPrefetch);
+  now += 6s;
+  int started = 0;
+  for (int i = 0; i < 2 * options.aged_every; ++i) {
+    add(Level::kCall);
+    const auto s = scheduler().next(now);
+    ASSERT_TRUE(s);
+    if (s->id == old) started = i + 1;
+    end(*s);
+  }
+  EXPECT_GT(started, 0);
+  EXPECT_LE(started, options.aged_every);
+}
+
+TEST_F(Fetches, FunctionsOfATenantShareByBytes) {
+  options.first_window = 1, options.most_window = 1;
+  for (int i = 0; i < 60; ++i) add(Level::kCall, 1, 0, 3000);
+  for (int i = 0; i < 60; ++i) add(Level::kCall, 2, 0, 1000);
+  int first = 0, second = 0;
+  for (int i = 0; i < 40; ++i) {
+    const auto s = scheduler().next(now);
+    s->id <= 60 ? ++first : ++second;
+    end(*s);
+  }
+  EXPECT_NEAR(first, 10, 1);  // a third of the fetches, half of the bytes
+  EXPECT_NEAR(second, 30, 1);
+}
+
+TEST_F(Fetches, TenantsShareByWeightWhateverTheyAskFor) {
+  options.first_window = 1, options.most_window = 1;
+  scheduler().set_weight(7, 3);
+  for (int i = 0; i < 400; ++i)
+    add(Level::kRenewal, static_cast<std::uint64_t>(i), 6);  // a flood of functions
+  for (int i = 0; i < 100; ++i) add(Level::kRenewal, 1, 7);
+  int light = 0;
+  for (int i = 0; i < 80; ++i) {
+    const auto s = scheduler().next(now);
+    if (s->id > 400) ++light;
+    end(*s);
+  }
+  EXPECT_NEAR(light, 60, 2);
+}
+
+TEST_F(Fetches, ATenantHasItsBoundOfFetchesAtOnce) {
+  options.first_window = 8, options.tenant_at_once = 2;
+  for (int i = 0; i < 5; ++i) add(Level::kCall, 1, 1);
+  for (int i = 0; i < 5; ++i) add(Level::kCall, 1, 2);
+  const auto all = start_all();
+  EXPECT_EQ(all.size(), 4U);
+  end(all[0]);
+  EXPECT_EQ(start_all().size(), 1U);  // its tenant's next
+}
+
+TEST_F(Fetches, TheWindowGrowsWhileTheStoreIsWellAndIsCutWhenItTurnsAway) {
+  options.first_window = 4;
+  std::deque<Start> out;
+  for (int i = 0; i < 400; ++i) add(Level::kCall);
+  for (int i = 0; i < 10; ++i) {
+    for (const Start& s : start_all()) out.push_back(s);
+    now += 10ms;
+    for (const Start& s : std::exchange(out, {})) end(s);
+  }
+  for (const Start& s : start_all()) out.push_back(s);
+  const double grown = scheduler().state(now, 0).window;
+  EXPECT_GT(grown, 8);
+  end(out.front(), FetchEnd::kBusy), out.pop_front();
+  const double cut = scheduler().state(now, 0).window;
+  EXPECT_NEAR(cut, grown / 2, 0.1);
+  end(out.front(), FetchEnd::kBusy), out.pop_front();
+  EXPECT_EQ(scheduler().state(now, 0).window, cut);  // one jam, one cut
+  now += 1s;
+  end(out.front(), FetchEnd::kBusy);
+  EXPECT_LT(scheduler().state(now, 0).window, cut);
+}
+
+TEST_F(Fetches, TheWindowShrinksWhenTheStoreSlows) {
+  options.first_window = 8;
+  for (int i = 0; i < 2000; ++i) add(Level::kCall);
+  auto run = [&](Duration took, int rounds) {
+    for (int i = 0; i < rounds; ++i) {
+      const auto all = start_all();
+      now += took;
+      for (const Start& s : all) end(s);
+    }
+  };
+  run(10ms, 40);
+  const double before = scheduler().state(now, 0).window;
+  run(80ms, 20);  // eight times slower
+  EXPECT_LT(scheduler().state(now, 0).window, before / 2);
+}
+
+TEST_F(Fetches, AStoreRestsAsLongAsItAsksAndNotForEver) {
+  const auto id = add(Level::kCall);
+  auto s = scheduler().next(now);
+  add(Level::kCall);
+  EXPECT_EQ(end(*s, FetchEnd::kBusy, 5s).kind, Verdict::Kind::kAgain);
+  now += 4s;
+  EXPECT_FALSE(scheduler().next(now));
+  ASSERT_TRUE(scheduler().wake(now));
+  EXPECT_GE(*scheduler().wake(now), now + 1s);
+  now += 5s;
+  EXPECT_TRUE(scheduler().next(now));
+  end({id, 1, 0, false}, FetchEnd::kBusy, 24h);
+  now += 2 * options.longest_rest;
+  EXPECT_FALSE(start_all().empty());
+}
+
+TEST_F(Fetches, RepeatsWaitLongerEachTimeAndEnd) {
+  add(Level::kCall);
+  Duration last{};
+  int tried = 0;
+  while (true) {
+    const auto s = scheduler().next(now);
+    ASSERT_TRUE(s);
+    ++tried;
+    const Verdict v = end(*s, FetchEnd::kBroken);
+    if (v.kind == Verdict::Kind::kGaveUp) {
+      EXPECT_NE(v.why.find("6 attempts"), std::string::npos) << v.why;
+      break;
+    }
+    EXPECT_FALSE(scheduler().next(now));  // not at once
+    const auto wake = scheduler().wake(now);
+    ASSERT_TRUE(wake);
+    const Duration pause = *wake - now;
+    if (tried > 2) {
+      EXPECT_GT(pause, last / 2);
+    }
+    last = pause, now = *wake;
+  }
+  EXPECT_EQ(tried, 6);
+  EXPECT_EQ(scheduler().size(), 0U);
+}
+
+TEST_F(Fetches, TheBudgetOfRepeatsHoldsForAllTogether) {
+  options.first_window = options.most_window = 64, options.most_attempts = 1000;
+  for (int i = 0; i < 64; ++i) add(Level::kCall);
+  int attempts = 0;
+  const Time until = now + 60s;
+  while (now < until) {
+    for (const Start& s : start_all()) ++attempts, end(s, FetchEnd::kBroken);
+    now += 10ms;
+  }
+  // 64 first attempts, what the budget held, and one a second.
+  EXPECT_LE(attempts, 64 + 16 + 60 + 8);
+  EXPECT_GE(attempts, 64 + 16 + 30);  // and it does go on asking
+}
+
+TEST_F(Fetches, WhatTheStoreDoesNotHaveIsNotAskedForAgain) {
+  add(Level::kCall);
+  EXPECT_EQ(end(*scheduler().next(now), FetchEnd::kMissing).kind, Verdict::Kind::kGaveUp);
+  add(Level::kCall);
+  EXPECT_EQ(end(*scheduler().next(now), FetchEnd::kRefused).kind, Verdict::Kind::kGaveUp);
+}
+
+TEST_F(Fetches, ACorruptReplicaIsLeftAlone) {
+  scheduler().set_replicas(0, 2);
+  add(Level::kCall);
+  const Start first = *scheduler().next(now);
+  EXPECT_EQ(end(first, FetchEnd::kCorrupt).kind, Verdict::Kind::kAgain);
+  now = *scheduler().wake(now);
+  const Start second = *scheduler().next(now);
+  EXPECT_NE(second.replica, first.replica);
+  end(second);
+  for (int i = 0; i < 10; ++i) {  // and for all others, for a while
+    add(Level::kCall);
+    const Start s = *scheduler().next(now);
+    EXPECT_NE(s.replica, first.replica);
+    end(s);
+  }
+}
+
+TEST_F(Fetches, HedgesOnlyWhatIsWaitedForAndOnlyWithinTheirBudget) {
+  options.first_window = 64;
+  scheduler().set_replicas(0, 2);
+  for (int i = 0; i < 6; ++i) add(Level::kCall);
+  const auto renewal = add(Level::kRenewal);
+  const auto out = start_all();
+  ASSERT_EQ(out.size(), 7U);
+  now += 1s;
+  const auto hedges = start_all();
+  EXPECT_EQ(hedges.size(), 4U);  // the whole budget
+  for (const Start& h : hedges) {
+    EXPECT_TRUE(h.hedge);
+    EXPECT_NE(h.id, renewal);
+    for (const Start& o : out)
+      if (o.id == h.id) {
+        EXPECT_NE(o.replica, h.replica);
+      }
+  }
+  // The first that is whole ends both; the other is to be called off.
+  const Verdict v = end(hedges[0]);
+  EXPECT_EQ(v.kind, Verdict::Kind::kDone);
+  EXPECT_EQ(v.call_off.size(), 1U);
+}
+
+TEST_F(Fetches, OneReplicaIsNeverHedged) {
+  add(Level::kCall);
+  start_all();
+  now += 10s;
+  EXPECT_TRUE(start_all().empty());
+}
+
+TEST_F(Fetches, WhatNobodyWaitsForIsCalledOff) {
+  options.first_window = 1;
+  const auto running = add(Level::kCall), waiting = add(Level::kCall), later = add(Level::kCall);
+  ASSERT_EQ(scheduler().next(now)->id, running);
+  EXPECT_TRUE(scheduler().drop(now, waiting).empty());
+  EXPECT_EQ(scheduler().drop(now, running), std::vector<std::uint32_t>{0});
+  EXPECT_EQ(scheduler().next(now)->id, later);  // its place is free
+  EXPECT_EQ(scheduler().ended(now, running, 0, FetchEnd::kWell, {}).kind, Verdict::Kind::kNobody);
+}
+
+TEST_F(Fetches, RaisedGoesAheadAtOnce) {
+  options.first_window = 1;
+  for (int i = 0; i < 10; ++i) add(Level::kRenewal);
+  const auto last = add(Level::kRenewal);
+  scheduler().raise(now, last, Level::kCall);
+  EXPECT_EQ(scheduler().next(now)->id, last);
+}
+
+TEST_F(Fetches, BytesASecondOfALevelHold) {
+  options.first_window = options.most_window = 64, options.share[2] = 1;
+  options.bytes_per_s[2] = 10'000;
+  for (int i = 0; i < 200; ++i) add(Level::kRenewal, 1, 0, 1000);
+  int started = 0;
+  for (int i = 0; i < 100; ++i) {
+    for (const Start& s : start_all()) ++started, end(s);
+    now += 100ms;
+  }
+  EXPECT_NEAR(started, 100 + 10, 6);  // ten a second, and a second's worth ahead
+}
+
+TEST_F(Fetches, OverItsBoundNothingIsTaken) {
+  options.most_waiting = 3;
+  for (int i = 0; i < 3; ++i) add(Level::kCall);
+  Fetch f;
+  f.id = 99;
+  EXPECT_FALSE(scheduler().add(now, f));
+}
+
+// Whatever happens: every fetch ends once, no bound is passed, and an idle scheduler holds nothing.
+TEST(FetchHistories, EveryFetchEndsAndNoBoundIsPassed) {
+  EXPECT_TRUE(rc::check("histories", [] {
+    SchedulerOptions o;
+    o.most_window = 6, o.tenant_at_once = 3;
+    Scheduler s(o, *rc::gen::arbitrary<std::uint64_t>());
+    s.set_replicas(0, static_cast<std::uint32_t>(*rc::gen::inRange(1, 3)));
+    Time now{1h};
+    std::map<std::uint64_t, std::set<std::uint32_t>> out;
+    std::map<std::uint64_t, std::uint32_t> tenant;
+    std::set<std::uint64_t> open;
+    std::uint64_t next = 1;
+    auto settle = [&](std::uint64_t id, const Verdict& v) {
+      if (v.kind == Verdict::Kind::kDone || v.kind == Verdict::Kind::kGaveUp) {
+        RC_ASSERT(open.erase(id) == 1);
+        for (const std::uint32_t a : v.call_off) RC_ASSERT(out[id].erase(a) == 1);
+        RC_ASSERT(out[id].empty());
+      }
+    };
+    auto start = [&] {
+      while (const auto started = s.next(now)) {
+        RC_ASSERT(open.contains(started->id));
+        RC_ASSERT(out[started->id].insert(started->attempt).second);
+        std::size_t all = 0;
+        std::map<std::uint32_t, std::size_t> of;
+        for (const auto& [id, attempts] : out) all += attempts.size(), of[tenant[id]] += attempts.size();
+        RC_ASSERT(all <= 6);
+        RC_ASSERT(s.state(now, 0).running == all);
+        for (const auto& [t, n] : of) RC_ASSERT(n <= 3 + 1);  // a hedge may go over
+      }
+    };
+    auto end_one = [&](FetchEnd how) {
+      for (auto& [id, attempts] : out) {
+        if (attempts.empty()) continue;
+        const std::uint32_t a = *attempts.begin();
+        attempts.erase(a);
+        return settle(id, s.ended(now, id, a, how, std::chrono::seconds(*rc::gen::inRange(0, 3))));
+      }
+    };
+    for (int i = 0; i < 80; ++i) {
+      switch (*rc::gen::inRange(0, 5)) {
+        case 0: {
+          Fetch f;
+          f.id = next++, f.level = static_cast<Level>(*rc::gen::inRange(0, 4));
+          f.tenant = static_cast<std::uint32_t>(*rc::gen::inRange(0, 3)), f.bytes = 100;
+          f.function = static_cast<std::uint64_t>(*rc::gen::inRange(0, 3));
+          tenant[f.id] = f.tenant;
+          RC_ASSERT(s.add(now, f));
+          open.insert(f.id);
+          break;
+        }
+        case 1: end_one(static_cast<FetchEnd>(*rc::gen::inRange(0, 6))); break;
+        case 2:
+          if (!open.empty()) s.raise(now, *open.begin(), static_cast<Level>(*rc::gen::inRange(0, 4)));
+          break;
+        case 3:
+          if (!open.empty()) {
+            const std::uint64_t id = *open.rbegin();
+            for (const std::uint32_t a : s.drop(now, id)) RC_ASSERT(out[id].erase(a) == 1);
+            open.erase(id);
+          }
+          break;
+        default: now += std::chrono::milliseconds(*rc::gen::inRange(0, 500)); break;
+      }
+      start();
+    }
+    for (int i = 0; i < 10000 && !open.empty(); ++i) {
+      end_one(FetchEnd::kWell);
+      if (const auto wake = s.wake(now)) now = std::max(now, *wake);
+      start();
+    }
+    RC_ASSERT(open.empty());
+    RC_ASSERT(s.size() == 0U);
+    RC_ASSERT(s.state(now, 0).running == 0U);
+  }));
+}
+
+}  // namespace
+}  // namespace laureltide::layers
--- a/tests/ledger/book_test.cpp
+++ b/tests/ledger/book_test.cpp
@@ -12,8 +12,8 @@
 
 struct BookTest : testing::Test {
   sim::Network net;
-  MemoryDisk disk;
-  std::unique_ptr<MemoryStore> store;
+  store::MemoryDisk disk;
+  std::unique_ptr<store::MemoryStore> store;
   std::unique_ptr<Book> book;
   BookOptions options;
   const std::string key = key_of("amqp/main/calls", "c-1");
@@ -22,7 +22,7 @@
   BookTest() { open(); }
   void open() {
     book.reset(), store.reset();
-    store = std::make_unique<MemoryStore>(net, disk);
+    store = std::make_unique<store::MemoryStore>(net, disk);
     book = std::make_unique<Book>(net, *store, options);
     const auto bad = book->load();
     ASSERT_FALSE(bad) << *bad;
@@ -216,7 +216,7 @@
   book->take(key, call(true));
   net.run_for(10ms);
   disk.data.at(key)[20] ^= 1;
-  MemoryStore fresh(net, disk);
+  store::MemoryStore fresh(net, disk);
   Book again(net, fresh, options);
   const auto bad = again.load();
   ASSERT_TRUE(bad);
--- a/tests/ledger/histories_test.cpp
+++ b/tests/ledger/histories_test.cpp
@@ -105,7 +105,7 @@
   };
 
   void begin() {
-    store_ = std::make_unique<ledger::MemoryStore>(net_, disk_);
+    store_ = std::make_unique<store::MemoryStore>(net_, disk_);
     book_ = std::make_unique<ledger::Book>(net_, *store_, ledger::BookOptions{});
     RC_ASSERT(!book_->load());
     Intake::Options o;
@@ -244,8 +244,8 @@
   ledger::Effect effect_;
   bool sole_;
   sim::Network net_;
-  ledger::MemoryDisk disk_;
-  std::unique_ptr<ledger::MemoryStore> store_;
+  store::MemoryDisk disk_;
+  std::unique_ptr<store::MemoryStore> store_;
   std::unique_ptr<ledger::Book> book_;
   std::unique_ptr<Intake> intake_;
   std::map<std::string, Message> messages_;
--- a/tests/ledger/restart_test.cpp
+++ b/tests/ledger/restart_test.cpp
@@ -218,8 +218,8 @@
 TEST(Restart, TheOtherReaderFailsWhatItNeverSaw) {
   LedgerTown town;
   town.start();
-  ledger::MemoryDisk disk;
-  ledger::MemoryStore store(town.net, disk);
+  store::MemoryDisk disk;
+  store::MemoryStore store(town.net, disk);
   ledger::Book book(town.net, store, {});
   Log log;
   auto other_settings = [&] {
--- a/tests/ledger/lmdb_test.cpp
+++ b/tests/store/lmdb_test.cpp
@@ -1,6 +1,6 @@
 // The store on a real disk: what is told as kept is there after a kill, and damage is said before it does
 // harm.
-#include "ledger/lmdb.h"
+#include "store/lmdb.h"
 
 #include <gtest/gtest.h>
 #include <sys/resource.h>
@@ -16,12 +16,20 @@
 
 #include "ledger/record.h"
 
-namespace laureltide::ledger {
+namespace laureltide::store {
 namespace {
 
+using namespace ledger;  // its records are what is kept here
+
 namespace fs = std::filesystem;
 using namespace std::chrono_literals;
 
+LmdbOptions options_in(const std::string& directory, std::size_t most_mb = 64) {
+  LmdbOptions o;
+  o.directory = directory, o.most_mb = most_mb, o.check = check_entry;
+  return o;
+}
+
 // Brings what the store's thread says to the test's.
 struct Mail {
   std::mutex mutex;
@@ -69,9 +77,7 @@
   }
 
   Opened open(std::size_t most_mb = 64) {
-    LmdbOptions o;
-    o.directory = dir + "/l", o.most_mb = most_mb;
-    Opened opened = open_lmdb(o, mail.post());
+    Opened opened = open_lmdb(options_in(dir + "/l", most_mb), mail.post());
     if (opened.store) opened.store->serve(this);
     return opened;
   }
@@ -140,9 +146,7 @@
     const pid_t child = fork();
     if (child == 0) {
       Mail own;
-      LmdbOptions o;
-      o.directory = dir + "/l", o.most_mb = 64;
-      Opened opened = open_lmdb(o, own.post());
+      Opened opened = open_lmdb(options_in(dir + "/l"), own.post());
       if (!opened.store) _exit(1);
       struct Told : StoreEvents {
         int last = -1, pipe = -1;
@@ -217,7 +221,7 @@
     const Opened o = open();
     EXPECT_FALSE(o.store) << part;
     EXPECT_NE(o.why.find("cut off"), std::string::npos) << o.why;
-    EXPECT_FALSE(walk(dir + "/l", [](auto, auto) {}).why.empty());
+    EXPECT_FALSE(walk(options_in(dir + "/l"), [](auto, auto) {}).why.empty());
   }
 }
 
@@ -361,13 +365,13 @@
   fill();
   Opened o = open();
   ASSERT_TRUE(o.store);
-  EXPECT_EQ(copy_compact(dir + "/l", dir + "/copy"), "");
+  EXPECT_EQ(copy_compact(options_in(dir + "/l"), dir + "/copy"), "");
   std::size_t n = 0;
-  const Walked w = walk(dir + "/copy", [&](auto, auto) { ++n; });
+  const Walked w = walk(options_in(dir + "/copy"), [&](auto, auto) { ++n; });
   EXPECT_EQ(w.why, "");
   EXPECT_EQ(n, 500U);
-  EXPECT_NE(copy_compact(dir + "/l", dir + "/copy"), "");  // never over another
+  EXPECT_NE(copy_compact(options_in(dir + "/l"), dir + "/copy"), "");  // never over another
 }
 
 }  // namespace
-}  // namespace laureltide::ledger
+}  // namespace laureltide::store
--- a/tests/town.h
+++ b/tests/town.h
@@ -128,8 +128,8 @@
   standin::ListService list;
   std::vector<std::unique_ptr<standin::Worker>> workers;
   std::shared_ptr<const config::Settings> config;
-  ledger::MemoryDisk disk;  // outlives the gateway
-  std::unique_ptr<ledger::MemoryStore> store;
+  store::MemoryDisk disk;  // outlives the gateway
+  std::unique_ptr<store::MemoryStore> store;
   std::unique_ptr<ledger::Book> book;
   bool with_ledger = false;
   ledger::BookOptions book_options;
@@ -181,7 +181,7 @@
 
   void start_gateway(std::uint64_t seed = 7) {
     if (with_ledger) {
-      store = std::make_unique<ledger::MemoryStore>(net, disk);
+      store = std::make_unique<store::MemoryStore>(net, disk);
       book = std::make_unique<ledger::Book>(net, *store, book_options);
       const auto bad = book->load();
       ASSERT_FALSE(bad) << *bad;
