A full store takes what makes room with what waits for it

A batch that did not fit was tried again alone, for ever: the erasures that would have made room waited behind it. What is given meanwhile now goes with the batch, last word on a key first.

--- a/src/store/lmdb.cpp
+++ b/src/store/lmdb.cpp
@@ -249,6 +249,10 @@
       if (for_good || stop.stop_requested()) return false;
       std::unique_lock lock(mutex_);
       woken_.wait_for(lock, stop, kTryAgain, [] { return false; });
+      // What was given meanwhile goes with it: an erasure may be just what makes room.
+      for (const Batch& more : given_) batch.words += more.words, batch.commits += more.commits;
+      given_.clear();
+      given_.emplace_back();
     }
     if (troubled) tell([](StoreEvents& e) { e.on_well(); });
     if (batch.commits > 0) tell([n = batch.commits](StoreEvents& e) { e.on_durable(n); });
--- a/tests/ledger/restart_test.cpp
+++ b/tests/ledger/restart_test.cpp
@@ -467,6 +467,24 @@
   EXPECT_EQ(town.ran(name), 1U);
 }
 
+TEST(Restart, AnOwedAnswerThatTheBrokerNeverHeardIsGivenAgain) {
+  LedgerTown town(Mode::kTake, 3);
+  town.start();
+  bool lost = false;
+  town.on_step = [&](const char* at) {
+    if (std::string(at) == "answer-given" && !std::exchange(lost, true))
+      town.net.set_silent(town.broker_at, true);
+  };
+  const std::string name = town.call("gate");
+  ASSERT_TRUE(town.net.run_until([&] { return lost; }));
+  town.net.run_for(50ms);
+  town.net.break_connections(town.broker_at);
+  town.net.set_silent(town.broker_at, false);
+  ASSERT_TRUE(town.wait_answer(name));
+  EXPECT_EQ(town.outcome(name), "served");
+  EXPECT_EQ(town.ran(name), 1U);
+}
+
 TEST(Restart, NewCallsWaitForRoomOnceTheyAreAcknowledgedOnTake) {
   auto text = settings_text(text_of(Mode::kTake), "[ledger]\ndirectory = \"x\"\n");
   text.replace(text.find("open_calls = 5000"), 17, "open_calls = 200");
--- a/tests/store/lmdb_test.cpp
+++ b/tests/store/lmdb_test.cpp
@@ -283,6 +283,11 @@
   ASSERT_TRUE(mail.run_until([&] { return !troubles.empty(); }));
   EXPECT_EQ(durable, 0U);
   EXPECT_NE(troubles[0].find("MDB_MAP_FULL"), std::string::npos) << troubles[0];
+  // Room is made by what is erased meanwhile, and the commit is told then.
+  for (int i = 1; i < 40; ++i) o.store->erase("big" + std::to_string(i));
+  ASSERT_TRUE(mail.run_until([&] { return durable == 1; }));
+  EXPECT_EQ(well, 1);
+  EXPECT_EQ(all(*o.store).size(), 1U);
 }
 
 TEST_F(Lmdb, ADirectoryThatCannotBeWrittenIsSaid) {
