--- a/src/apps/laureltide.cpp
+++ b/src/apps/laureltide.cpp
@@ -21,8 +21,8 @@
 #include "config/settings.h"
 #include "controller/gateway.h"
 #include "controller/keyring.h"
-#include "store/lmdb.h"
 #include "net/loop.h"
+#include "store/lmdb.h"
 
 namespace lt = laureltide;
 
@@ -172,7 +172,7 @@
   void open_ledger(DieAt die_at) {
     const auto began = loop_.now();
     auto opened = lt::store::open_lmdb(lmdb_options(settings_->ledger),
-                                        [this](std::function<void()> what) { loop_.post(std::move(what)); });
+                                       [this](std::function<void()> what) { loop_.post(std::move(what)); });
     if (!opened.store) throw std::runtime_error(opened.why);
     store_ = std::move(opened.store);
     lt::ledger::BookOptions options;
--- a/src/apps/ledger_tool.cpp
+++ b/src/apps/ledger_tool.cpp
@@ -4,8 +4,8 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
-#include "store/lmdb.h"
 #include "ledger/record.h"
+#include "store/lmdb.h"
 
 namespace laureltide::apps {
 namespace {
--- a/src/apps/play.cpp
+++ b/src/apps/play.cpp
@@ -16,6 +16,7 @@
 
 #include "apps/tools.h"
 #include "check/judge.h"
+#include "check/layers.h"
 #include "net/loop.h"
 #include "standin/caller.h"
 #include "standin/day.h"
@@ -153,10 +154,12 @@
     for (const auto& entry : std::filesystem::directory_iterator(dir_))
       if (entry.path().extension() == ".tape")
         for (auto& line : lt::apps::read_tape(entry.path().string())) tape.push_back(std::move(line));
+    if (day_.boxes > 0) layers_ = lt::check::judge_layers(tape);
     return lt::check::judge(rules_of(day_), std::move(tape));
   }
   std::size_t made() const { return made_; }
   std::size_t deaths() const { return deaths_; }
+  const std::optional<lt::check::LayersVerdict>& layers() const { return layers_; }
 
  private:
   void standin(const std::string& name, std::vector<std::string> words) {
@@ -177,6 +180,24 @@
     broker_port_ = reserve();
     const std::uint16_t list = reserve(), store = reserve();
     standin("store", {"store", "--port", std::to_string(store)});
+    std::vector<std::uint16_t> agents;
+    if (day_.boxes > 0) {
+      const std::uint16_t registry = reserve();
+      standin("registry", {"registry", "--port", std::to_string(registry)});
+      for (std::uint32_t box = 0; box < day_.boxes; ++box) {
+        agents.push_back(reserve());
+        const std::string name = "box-" + std::to_string(box + 1);
+        standins_.push_back(std::make_unique<lt::apps::Child>(
+            std::vector<std::string>{here_ + "/laureltide-layers", "--directory", dir_ + "/" + name, "--name",
+                                     name, "--store", "127.0.0.1:" + std::to_string(registry), "--port",
+                                     std::to_string(agents.back()), "--look-s", "0.3"},
+            dir_ + "/" + name + ".log"));
+        std::string line;
+        if (!standins_.back()->read_line(line, 20s))
+          throw std::runtime_error(name + " did not start; see " + dir_);
+        agents_.insert(standins_.back().get());
+      }
+    }
     standin("broker", {"broker", "--port", std::to_string(broker_port_)});
     std::string ports;
     auto worker = [&](std::uint32_t id, bool stand_by) {
@@ -188,6 +209,8 @@
                                      std::to_string(port),
                                      "--store-port",
                                      std::to_string(store)};
+      if (!agents.empty())
+        words.insert(words.end(), {"--agent-port", std::to_string(agents[(id - 1) % agents.size()])});
       if (stand_by) words.emplace_back("--stand-by");
       standin("worker-" + std::to_string(id), words);
       ports += (ports.empty() ? "" : ",") + std::to_string(id) + "=" + std::to_string(port);
@@ -259,7 +282,8 @@
       all = all && consuming(n);
     }
     if (!all) return begin_->start(20ms);
-    for (auto& child : standins_) child->signal(SIGUSR1);
+    for (auto& child : standins_)
+      if (!agents_.contains(child.get())) child->signal(SIGUSR1);
     start_ = loop_.now();
     script_ = std::make_unique<lt::standin::Script>(loop_, start_);
     for (const Trouble& t : day_.troubles) strike(t);
@@ -380,12 +404,14 @@
   lt::apps::FileTape tape_;
   std::vector<lt::apps::PortReserve> ports_;
   std::vector<std::unique_ptr<lt::apps::Child>> standins_, gateways_;
+  std::set<lt::apps::Child*> agents_;  // of the boxes: programs of ours, which play no part
   std::unique_ptr<lt::standin::Caller> caller_;
   std::unique_ptr<lt::standin::Invoker> invoker_;
   std::vector<std::uint16_t> invoke_;
   std::unique_ptr<lt::standin::Script> script_;
   std::unique_ptr<lt::io::Timer> begin_, next_call_, progress_, death_look_;
   std::size_t deaths_ = 0;
+  std::optional<lt::check::LayersVerdict> layers_;
   std::set<std::uint32_t> killed_;  // by the day's order, until it has them back
   lt::Time start_{};
   lt::Duration due_{};
@@ -424,6 +450,18 @@
   std::cout << "verdict: " << (verdict.kept() ? "kept" : "broken") << std::endl;
 }
 
+void print(const lt::check::LayersVerdict& v) {
+  std::cout << "layers: " << v.versions << " versions of " << v.functions << " functions released, "
+            << v.boxes << " boxes fetched " << v.ranges << " ranges, " << v.bytes << " bytes; " << v.runs
+            << " runs on a known version, " << v.renewed << " of a later release\n";
+  std::cout << "layers (each chunk once a box): " << (v.once.empty() ? "kept" : "BROKEN") << '\n';
+  for (std::size_t i = 0; i < std::min<std::size_t>(5, v.once.size()); ++i)
+    std::cout << "  " << v.once[i] << '\n';
+  std::cout << "layers (no call on mixed versions): " << (v.mixed.empty() ? "kept" : "BROKEN") << '\n';
+  for (std::size_t i = 0; i < std::min<std::size_t>(5, v.mixed.size()); ++i)
+    std::cout << "  " << v.mixed[i] << '\n';
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -461,13 +499,20 @@
     if (!day->die_at.empty())
       std::cout << "gateway 0 died at " << player.deaths() << " of " << day->die_at.size() << " steps\n";
     print(verdict);
+    if (player.layers()) print(*player.layers());
+    const bool kept = verdict.kept() && (!player.layers() || player.layers()->kept());
     if (player.deaths() < day->die_at.size())
       throw std::runtime_error("the day ended before the step " + day->die_at[player.deaths()] +
                                " was passed");
-    if (!report.empty()) std::ofstream(report) << verdict.report().dump(2) << '\n';
-    if (keep.empty() && verdict.kept()) std::filesystem::remove_all(dir);
-    if (keep.empty() && !verdict.kept()) std::cout << "tapes and logs: " << dir << '\n';
-    return verdict.kept() ? 0 : 1;
+    auto doc = verdict.report();
+    if (const auto& l = player.layers())
+      doc["layers"] = {{"once", l->once},   {"mixed", l->mixed},    {"versions", l->versions},
+                       {"boxes", l->boxes}, {"ranges", l->ranges},  {"bytes", l->bytes},
+                       {"runs", l->runs},   {"renewed", l->renewed}};
+    if (!report.empty()) std::ofstream(report) << doc.dump(2) << '\n';
+    if (keep.empty() && kept) std::filesystem::remove_all(dir);
+    if (keep.empty() && !kept) std::cout << "tapes and logs: " << dir << '\n';
+    return kept ? 0 : 1;
   } catch (const std::exception& e) {
     std::cerr << "laureltide-play: " << e.what() << '\n';
     return 3;
--- a/src/apps/standin.cpp
+++ b/src/apps/standin.cpp
@@ -12,6 +12,7 @@
 #include "standin/broker.h"
 #include "standin/day.h"
 #include "standin/list.h"
+#include "standin/registry.h"
 #include "standin/store.h"
 #include "standin/worker.h"
 
@@ -24,7 +25,7 @@
   std::uint16_t port = 0;
   std::string day, tape, ports;
   std::uint32_t id = 1;
-  std::uint16_t store_port = 0;
+  std::uint16_t store_port = 0, agent_port = 0;
   std::string queue = "calls";
   std::uint16_t broker_port = 0;
   double seconds = 0;
@@ -102,6 +103,7 @@
   auto options = day->worker_options(c.id);
   if (c.day.empty()) options.functions["echo"] = options.functions["echo-0"];
   if (c.store_port != 0) options.store = lt::io::Address{"127.0.0.1", c.store_port};
+  if (c.agent_port != 0) options.agent = lt::io::Address{"127.0.0.1", c.agent_port};
   lt::standin::Worker worker(loop, options, tape);
   for (const auto& cls : day->classes)
     if (cls.effect == "keyed") worker.forget_keys_after(cls.repeat_window);
@@ -147,6 +149,20 @@
   return serve(loop, c, store.address().port, [&](auto& s) { lt::standin::script_store(s, *day, store); });
 }
 
+int run_registry(const Common& c) {
+  lt::net::Loop loop;
+  lt::apps::FileTape tape(c.tape);
+  const auto day = day_of(c.day);
+  if (!day) return 2;
+  lt::standin::RegistryOptions options;
+  options.bytes_per_s = day->store_mb_per_s * 1e6;
+  lt::standin::Registry registry(loop, options, tape);
+  if (!c.day.empty()) lt::standin::publish_all(*day, registry, 1, 0, tape, loop.now());
+  if (!registry.listen({"127.0.0.1", c.port})) return cannot_listen(c.port);
+  return serve(loop, c, registry.address().port,
+               [&](auto& s) { lt::standin::script_registry(s, *day, registry, loop, tape); });
+}
+
 // Broker, workers, list and the gateway itself, as processes of this one.
 int run_stack(const Common& c) {
   sigset_t signals;  // before any child: a stop that comes early is not lost
@@ -241,12 +257,17 @@
   common(worker);
   worker->add_option("--id", c.id, "its number in the list");
   worker->add_option("--store-port", c.store_port, "of the store it fetches from; 0: none");
+  worker->add_option("--agent-port", c.agent_port,
+                     "of its box's agent, which it then loads through; 0: none");
   worker->add_flag("--stand-by", c.stand_by, "does not listen before the day says so");
   CLI::App* list = app.add_subcommand("list", "the list of workers");
   common(list);
   list->add_option("--ports", c.ports, "of the workers: 1=7101,2=7102");
   CLI::App* store = app.add_subcommand("store", "the store that workers fetch functions from");
   common(store);
+  CLI::App* registry =
+      app.add_subcommand("registry", "a store of the OCI distribution API, that boxes fetch from");
+  common(registry);
   CLI::App* stack = app.add_subcommand("stack", "all of it with a gateway; prints a line with 'ready'");
   stack->add_option("--broker-port", c.broker_port, "where the broker listens; 0 takes a free port");
   stack->add_option("--queue", c.queue, "whose messages are calls");
@@ -258,6 +279,7 @@
     if (*worker) return run_worker(c);
     if (*list) return run_list(c);
     if (*store) return run_store(c);
+    if (*registry) return run_registry(c);
     return run_stack(c);
   } catch (const std::exception& e) {
     std::cerr << "laureltide-standin: " << e.what() << '\n';
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -13,6 +13,7 @@
 #include <csignal>
 #include <cstring>
 #include <ctime>
+#include <map>
 #include <mutex>
 #include <random>
 #include <stdexcept>
@@ -69,20 +70,26 @@
   EventPtr event_;
 };
 
-// Outlives its Stream by a moment when it still has bytes to send (finish).
+// Outlives its Stream by a moment when it still has bytes to send (finish). The loop owns it, so that one
+// that ends with such a moment under way leaves nothing behind.
 struct Lingering {
+  using All = std::map<Lingering*, std::unique_ptr<Lingering>>;
   BufferEventPtr stream;
-  static void start(BufferEventPtr stream) {
-    auto* self = new Lingering{std::move(stream)};
+  All& all;
+  void end() { all.erase(this); }
+  static void start(BufferEventPtr stream, All& all) {
+    auto fresh = std::make_unique<Lingering>(Lingering{std::move(stream), all});
+    Lingering* self = fresh.get();
+    all[self] = std::move(fresh);
     bufferevent* raw = self->stream.get();
     const timeval tv = to_timeval(kFinishWithin);
     bufferevent_set_timeouts(raw, &tv, &tv);
     bufferevent_setcb(
         raw, [](bufferevent* b, void*) { evbuffer_drain(bufferevent_get_input(b), SIZE_MAX); },
         [](bufferevent* b, void* self) {
-          if (evbuffer_get_length(bufferevent_get_output(b)) == 0) delete static_cast<Lingering*>(self);
+          if (evbuffer_get_length(bufferevent_get_output(b)) == 0) static_cast<Lingering*>(self)->end();
         },
-        [](bufferevent*, short, void* self) { delete static_cast<Lingering*>(self); }, self);
+        [](bufferevent*, short, void* self) { static_cast<Lingering*>(self)->end(); }, self);
     bufferevent_setwatermark(raw, EV_WRITE, 0, 0);
     bufferevent_enable(raw, EV_WRITE);
   }
@@ -90,7 +97,8 @@
 
 class Stream : public io::Connection {
  public:
-  Stream(event_base* base, evutil_socket_t fd, const io::StreamOptions& options) {
+  Stream(event_base* base, evutil_socket_t fd, const io::StreamOptions& options, Lingering::All& lingering)
+      : lingering_(lingering) {
     stream_.reset(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
     bufferevent_setcb(stream_.get(), on_read, on_write, on_event, this);
     bufferevent_setwatermark(stream_.get(), EV_READ, 0, options.read_ahead);
@@ -135,27 +143,24 @@
     if (std::exchange(over_, true)) return;
     if (!open_) return;
     shared_events_off();
-    Lingering::start(std::move(stream_));
+    Lingering::start(std::move(stream_), lingering_);
   }
 
  private:
   void shared_events_off() { *alive_ = false, alive_ = std::make_shared<bool>(true); }
 
-  template <class F>
-  void soon(event_base* base, F what) {
-    struct Later {
-      std::shared_ptr<bool> alive;
-      Stream* self;
-      F what;
-    };
-    const timeval none{};
-    event_base_once(
-        base, -1, EV_TIMEOUT,
+  // Later on the loop, unless the stream is gone by then; once in a stream's life.
+  void soon(event_base* base, void (*what)(Stream&)) {
+    soon_what_ = what;
+    soon_.reset(event_new(
+        base, -1, 0,
         [](evutil_socket_t, short, void* raw) {
-          std::unique_ptr<Later> later(static_cast<Later*>(raw));
-          if (*later->alive) later->what(*later->self);
+          auto& self = *static_cast<Stream*>(raw);
+          if (!self.over_) self.soon_what_(self);
         },
-        new Later{alive_, this, what}, &none);
+        this));
+    const timeval none{};
+    event_add(soon_.get(), &none);
   }
 
   static void opened(evutil_socket_t fd) {
@@ -195,7 +200,10 @@
     events_->on_closed(why);
   }
 
+  Lingering::All& lingering_;
   BufferEventPtr stream_;
+  EventPtr soon_;
+  void (*soon_what_)(Stream&) = nullptr;
   io::ConnectionEvents* events_ = nullptr;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   bool open_ = false, over_ = false, above_ = false;
@@ -204,8 +212,8 @@
 class LoopListener : public io::Listener {
  public:
   LoopListener(event_base* base, const sockaddr_in& at, const io::StreamOptions& options,
-               io::Host::Accept accept)
-      : base_(base), options_(options), accept_(std::move(accept)) {
+               io::Host::Accept accept, Lingering::All& lingering)
+      : base_(base), options_(options), accept_(std::move(accept)), lingering_(lingering) {
     listener_.reset(evconnlistener_new_bind(base, accepted, this,
                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
                                             1024, reinterpret_cast<const sockaddr*>(&at), sizeof at));
@@ -223,7 +231,7 @@
  private:
   static void accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* raw) {
     auto& self = *static_cast<LoopListener*>(raw);
-    auto stream = std::make_unique<Stream>(self.base_, fd, self.options_);
+    auto stream = std::make_unique<Stream>(self.base_, fd, self.options_, self.lingering_);
     Stream* kept = stream.get();
     io::ConnectionEvents* events = self.accept_(std::move(stream));
     if (!events) return;  // turned away: the stream is already gone
@@ -234,6 +242,7 @@
   event_base* base_;
   io::StreamOptions options_;
   io::Host::Accept accept_;
+  Lingering::All& lingering_;
   std::unique_ptr<evconnlistener, Freed<evconnlistener_free>> listener_;
 };
 
@@ -242,6 +251,7 @@
 struct Loop::Impl {
   LoopOptions options;
   std::unique_ptr<event_base, Freed<event_base_free>> base;
+  Lingering::All lingering;
   std::mt19937_64 random{std::random_device{}()};
   struct Signal {
     std::function<void()> handler;
@@ -307,7 +317,7 @@
 
 std::unique_ptr<io::Connection> Loop::connect(const io::Address& to, const io::StreamOptions& options,
                                               io::ConnectionEvents& events) {
-  auto stream = std::make_unique<Stream>(impl_->base.get(), -1, options);
+  auto stream = std::make_unique<Stream>(impl_->base.get(), -1, options, impl_->lingering);
   stream->serve(&events);
   const auto raw = to_sockaddr(to);
   if (!raw || (impl_->options.loopback_only && !is_loopback(to)))
@@ -321,7 +331,8 @@
                                            Accept accept) {
   const auto raw = to_sockaddr(at);
   if (!raw || (impl_->options.loopback_only && !is_loopback(at))) return nullptr;
-  auto listener = std::make_unique<LoopListener>(impl_->base.get(), *raw, options, std::move(accept));
+  auto listener =
+      std::make_unique<LoopListener>(impl_->base.get(), *raw, options, std::move(accept), impl_->lingering);
   if (!listener->listening()) return nullptr;
   return listener;
 }
--- a/src/standin/day.cpp
+++ b/src/standin/day.cpp
@@ -9,8 +9,10 @@
 #define TOML_EXCEPTIONS 0
 #include <toml++/toml.h>
 
+#include "layers/format.h"
 #include "standin/broker.h"
 #include "standin/list.h"
+#include "standin/registry.h"
 
 namespace laureltide::standin {
 namespace {
@@ -32,6 +34,7 @@
                                KindName{"list_drain", TroubleKind::kListDrain},
                                KindName{"list_gone", TroubleKind::kListGone},
                                KindName{"flush", TroubleKind::kFlush},
+                               KindName{"release", TroubleKind::kRelease},
                                KindName{"hot_key", TroubleKind::kHotKey},
                                KindName{"mass_restart", TroubleKind::kMassRestart},
                                KindName{"origin_slow", TroubleKind::kOriginSlow},
@@ -289,6 +292,9 @@
   day.keep_alive = fleet.ms("keep_alive_ms", 8s);
   day.list_lag = fleet.ms("list_lag_ms", 300ms);
   day.store_at_once = static_cast<std::size_t>(fleet.number("store_at_once", 8, 1, 1e6));
+  day.boxes = static_cast<std::uint32_t>(fleet.number("boxes", 0, 0, 64));
+  day.layer_kb = static_cast<std::size_t>(fleet.number("layer_kb", 1024, 1, 1e6));
+  day.store_mb_per_s = fleet.number("store_mb_per_s", 50, 0.1, 1e6);
   fleet.done();
   Table rules = root.table("rules");
   day.drain_grace = rules.ms("drain_grace_ms", 1s);
@@ -309,6 +315,9 @@
   root.tables("tenant", [&](Table& t) { day.tenants.push_back({t.text("name", ""), t.number("share", 1)}); });
   if (day.classes.empty()) root.wrong("class", "at least one [[class]] is needed");
   root.tables("trouble", [&](Table& t) { read_trouble(t, day); });
+  for (const Trouble& t : day.troubles)
+    if (t.kind == TroubleKind::kRelease && day.boxes == 0)
+      fleet.wrong("boxes", "is needed (1 or more) for a trouble of kind release");
   root.done();
   if (!problems.empty()) return std::nullopt;
   return day;
@@ -529,4 +538,72 @@
     }
 }
 
+// ---- The OCI store --------------------------------------------------------------------------------------
+
+namespace {
+
+constexpr std::size_t kBlock = 16U << 10;
+
+// A function's bytes in a release: each release replaces a part of the blocks of the one before.
+std::string content_of(const Day& day, const std::string& function, const std::vector<double>& changes) {
+  std::string bytes(day.layer_kb << 10, '\0');
+  const std::uint64_t seed = std::hash<std::string>{}(function) ^ day.seed;
+  for (std::size_t at = 0, block = 0; at < bytes.size(); at += kBlock, ++block) {
+    std::uint64_t version = 0;
+    std::mt19937_64 fate(seed + block * 7919);
+    for (std::size_t r = 0; r < changes.size(); ++r)
+      if (static_cast<double>(fate() >> 11) * 0x1.0p-53 < changes[r]) version = r + 1;
+    std::mt19937_64 random(seed ^ (block << 20) ^ version);
+    for (std::size_t i = at; i < std::min(bytes.size(), at + kBlock); ++i)
+      bytes[i] = static_cast<char>(random() & 0x3f);
+  }
+  return bytes;
+}
+
+}  // namespace
+
+void publish_all(const Day& day, Registry& registry, std::uint64_t release, double changed, Tape& tape,
+                 Time at) {
+  std::vector<double> changes;  // of the releases up to this one
+  for (const Trouble& t : day.troubles)
+    if (t.kind == TroubleKind::kRelease && changes.size() + 1 < release) changes.push_back(t.size);
+  if (release > 1 && changes.size() + 1 < release) changes.push_back(changed);
+  for (const DayClass& c : day.classes)
+    for (int i = 0; i < c.functions; ++i) {
+      const std::string name = day.function(c, i), repository = "functions/" + name;
+      const layers::Packed packed =
+          layers::pack_layer(content_of(day, name, changes), layers::CutOptions{64U << 10}, 1);
+      layers::Manifest m;
+      m.function = name, m.release = release;
+      layers::LayerRef layer;
+      layer.title = "model", layer.blob_size = packed.blob.size(),
+      layer.index_size = packed.index_bytes.size();
+      layer.blob = *layers::parse_digest(registry.put_blob(repository, packed.blob));
+      layer.index = *layers::parse_digest(registry.put_blob(repository, packed.index_bytes));
+      m.layers.push_back(layer);
+      const std::string version = registry.put_manifest(repository, "current", layers::write_manifest(m));
+      tape.note(at, "release",
+                {{"function", name},
+                 {"release", release},
+                 {"version", version},
+                 {"blob", layer.blob.text()},
+                 {"layers", {packed.index.content.text()}}});
+    }
+}
+
+void script_registry(Script& script, const Day& day, Registry& registry, io::Host& host, Tape& tape) {
+  std::uint64_t release = 1;
+  for (const Trouble& t : day.troubles) {
+    if (t.kind == TroubleKind::kOriginSlow) {
+      script.add(t.at, [&registry, t] { registry.set_slow(t.size); });
+      script.add(t.at + t.length, [&registry] { registry.set_slow(1); });
+    }
+    if (t.kind != TroubleKind::kRelease) continue;
+    ++release;
+    script.add(t.at, [&day, &registry, &host, &tape, release, size = t.size] {
+      publish_all(day, registry, release, size, tape, host.now());
+    });
+  }
+}
+
 }  // namespace laureltide::standin
--- a/src/standin/day.h
+++ b/src/standin/day.h
@@ -26,6 +26,7 @@
   kHotKey,
   kMassRestart,
   kOriginSlow,
+  kRelease,
   kPauses,
   kPreempt,
   kSlow,
@@ -93,6 +94,10 @@
   Duration drain_grace{}, answer_grace{}, cold_for{}, overload_for{}, order_window{};
   double cold_from = 1, fall_multiple = 0, order_floor = 0, orders_per_call = 0;
   std::size_t store_at_once = 8;
+  // Workers load through agents of their boxes, from an OCI store: 0: they do not.
+  std::uint32_t boxes = 0;
+  std::size_t layer_kb = 1024;  // of each function
+  double store_mb_per_s = 50;   // of all boxes together
   std::vector<Trouble> troubles;
 
   std::string function(const DayClass& c, int i) const { return c.name + "-" + std::to_string(i); }
@@ -138,5 +143,10 @@
 class Broker;
 void script_broker(Script& script, const Day& day, Broker& broker);
 void script_store(Script& script, const Day& day, Store& store);
+class Registry;
+// Publishes the first release of every function; later ones come with the day's troubles.
+void publish_all(const Day& day, Registry& registry, std::uint64_t release, double changed, Tape& tape,
+                 Time at);
+void script_registry(Script& script, const Day& day, Registry& registry, io::Host& host, Tape& tape);
 
 }  // namespace laureltide::standin
--- a/src/standin/registry.cpp
+++ b/src/standin/registry.cpp
@@ -148,7 +148,7 @@
       const std::string* who = request_.headers.find("User-Agent");
       const std::string from = who ? *who : "";
       ++registry_.ranges_[from + " " + note_];
-      registry_.tape_.note(registry_.host_.now(), "sent",
+      registry_.tape_.note(registry_.host_.now(), "store-sent",
                            {{"store", registry_.options_.name}, {"to", from}, {"what", note_}});
     }
     leave();
--- a/src/standin/worker.cpp
+++ b/src/standin/worker.cpp
@@ -1,6 +1,8 @@
 #include "standin/worker.h"
 
 #include <algorithm>
+#include <fstream>
+#include <sstream>
 #include <utility>
 
 namespace laureltide::standin {
@@ -34,6 +36,11 @@
   cold_since_.reset();
   if (cold) cold_since_ = host_.now();
   const std::int64_t started = host_.unix_ms();
+  if (options_.agent) {
+    agent_ = std::make_shared<layers::AgentClient>(host_, *options_.agent, options_.name,
+                                                   std::to_string(started) + "-" + std::to_string(life_));
+    agent_->follow([this](const std::vector<layers::ReleaseNews>& all) { on_releases(all); });
+  }
   listener_ =
       host_.listen(at, stream, [this, started](std::unique_ptr<io::Connection> c) -> io::ConnectionEvents* {
         worker::Hello hello;
@@ -64,6 +71,7 @@
   jobs_.clear(), pools_.clear(), for_core_.clear(), load_line_.clear(), cold_work_.clear(), unsaid_.clear();
   unheard_.clear(), keys_.clear(), loading_timers_.clear();
   loads_ = on_core_ = 0;
+  agent_.reset();  // its pins go with its lease, or its next life
   for (auto& [raw, session] : std::exchange(sessions_, {})) {
     raw->abort();
     dead_.bury(std::move(session));
@@ -262,12 +270,14 @@
     if (!fresh && !repeat) it->second = host_.now();
   }
   if (!repeat) ++runs_;
-  tape_.note(host_.now(), repeat ? "dropped" : "ran",
-             {{"worker", options_.id},
-              {"call", job.call.name},
-              {"attempt", job.call.attempt},
-              {"function", job.call.function},
-              {"key", job.call.key}});
+  job.version = pools_[job.call.function].version;
+  nlohmann::json note = {{"worker", options_.id},
+                         {"call", job.call.name},
+                         {"attempt", job.call.attempt},
+                         {"function", job.call.function},
+                         {"key", job.call.key}};
+  if (job.version) note["version"] = job.version->name, note["layers"] = job.version->layers;
+  tape_.note(host_.now(), repeat ? "dropped" : "ran", std::move(note));
   const double draw = 1 + model.work_spread * (2 * host_.random_unit() - 1);
   const double took = seconds(model.work) * draw * slow_ / (options_.speed * warmth());
   job.timer = host_.timer([this, id] { finish(id); });
@@ -348,7 +358,9 @@
       }));
       loading_timers_.back()->start(takes);
     };
-    if (store_ && model.fetch > Duration(0)) {
+    if (agent_) {
+      fetch(name, start);
+    } else if (store_ && model.fetch > Duration(0)) {
       store_->fetch(model.fetch, start);
     } else {
       loading_timers_.push_back(host_.timer([start] { start(true); }));
@@ -357,6 +369,72 @@
   }
 }
 
+// A pin of the current version, unless copies of one are here already: a pool is of one version at a time.
+void Worker::fetch(const std::string& name, std::function<void(bool well)> done) {
+  if (pools_[name].version) {
+    loading_timers_.push_back(host_.timer([done = std::move(done)] { done(true); }));
+    return loading_timers_.back()->start(Duration(0));
+  }
+  agent_->pin(
+      name, {}, layers::Level::kHold, std::chrono::seconds(30),
+      [this, name, life = life_, done = std::move(done)](const std::optional<layers::Snapshot>& s,
+                                                         std::string why) {
+        if (life != life_) return;
+        auto version = s ? read(*s, why) : nullptr;
+        if (!version)
+          tape_.note(host_.now(), "load-failed", {{"worker", options_.id}, {"function", name}, {"why", why}});
+        Pool& pool = pools_[name];
+        if (!pool.version) pool.version = std::move(version);
+        done(pool.version != nullptr);
+      });
+}
+
+std::shared_ptr<const Worker::Version> Worker::read(const layers::Snapshot& snapshot, std::string& why) {
+  auto version = std::shared_ptr<Version>(
+      new Version, [agent = std::weak_ptr(agent_), pin = snapshot.pin](const Version* v) {
+        if (const auto still = agent.lock()) still->unpin(pin);
+        delete v;
+      });
+  version->name = snapshot.version.text(), version->release = snapshot.release;
+  for (const auto& layer : snapshot.layers) {
+    layers::Hasher hasher;
+    for (const auto& [path, size] : layer.chunks) {
+      std::ifstream in(path, std::ios::binary);
+      std::ostringstream bytes;
+      bytes << in.rdbuf();
+      if (!in || bytes.str().size() != size) return why = path + " is not as long as the agent said", nullptr;
+      hasher.add(bytes.str());
+    }
+    version->layers.push_back(hasher.finish().text());
+  }
+  return version;
+}
+
+// A newer version is whole on the box: it is loaded beside the old one, which serves until it stands. What
+// runs goes on with what it began with.
+void Worker::on_releases(const std::vector<layers::ReleaseNews>& all) {
+  for (const layers::ReleaseNews& r : all) {
+    const auto it = pools_.find(r.function);
+    if (!r.whole || it == pools_.end() || !it->second.version || it->second.renewing ||
+        it->second.version->release >= r.release)
+      continue;
+    it->second.renewing = true;
+    agent_->pin(
+        r.function, r.version, layers::Level::kRenewal, std::chrono::seconds(30),
+        [this, name = r.function, life = life_](const std::optional<layers::Snapshot>& s, std::string why) {
+          if (life != life_) return;
+          auto version = s ? read(*s, why) : nullptr;
+          loading_timers_.push_back(host_.timer([this, name, life, version] {
+            if (life != life_) return;
+            Pool& pool = pools_[name];
+            pool.renewing = false;
+            if (version && pool.version) pool.version = version;
+          }));
+          loading_timers_.back()->start(options_.functions.at(name).start);
+        });
+  }
+}
+
 void Worker::loaded(const std::string& name, bool well) {
   --loads_;
   Pool& pool = pools_[name];
@@ -424,6 +502,9 @@
     if (pool.ready > 0 && pool.running == 0 && pool.waiting.empty() &&
         host_.now() - pool.idle_since > options_.keep_alive)
       pool.ready = 0;
+  for (auto& [name, pool] : pools_)
+    if (pool.ready == 0 && pool.loading == 0 && pool.running == 0 && pool.waiting.empty())
+      pool.version.reset();
   if (loading_timers_.size() > 4096)
     loading_timers_.erase(loading_timers_.begin(), loading_timers_.begin() + 2048);
   std::erase_if(keys_, [&](const auto& k) { return host_.now() - k.second > 2 * key_window_; });
--- a/src/standin/worker.h
+++ b/src/standin/worker.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 
+#include "layers/client.h"
 #include "standin/store.h"
 #include "standin/tape.h"
 #include "worker/server.h"
@@ -40,6 +41,8 @@
   Duration overload_for = std::chrono::seconds(1);
   std::map<std::string, FunctionModel> functions;
   std::optional<io::Address> store;
+  // The box's agent: a load is then a pin of a version, whose bytes are read and hashed from the disk.
+  std::optional<io::Address> agent;
 };
 
 class Worker : public worker::SessionEvents {
@@ -81,6 +84,13 @@
   void on_end(worker::Session& session) override;
 
  private:
+  // A version as this worker has it: what it read, and the pin that keeps it. Let go with the last that uses
+  // it.
+  struct Version {
+    std::string name;  // of the manifest
+    std::uint64_t release = 0;
+    std::vector<std::string> layers;  // digests of the bytes that were read
+  };
   struct Job {
     worker::Session* session = nullptr;  // nothing once its connection ended
     worker::Call call;
@@ -88,6 +98,7 @@
     int company = 0;
     bool running = false;
     bool cancelled = false;
+    std::shared_ptr<const Version> version;  // that it runs, from its start to its end
     std::unique_ptr<io::Timer> timer;
   };
   struct Order {
@@ -101,10 +112,15 @@
     Time idle_since{};
     std::deque<std::uint64_t> waiting;  // jobs
     std::vector<Order> orders;
+    std::shared_ptr<const Version> version;  // that its copies are of
+    bool renewing = false;
   };
 
   void on_call(worker::Session& session, worker::Call call);
   void on_hold(worker::Session& session, const worker::Hold& hold);
+  void fetch(const std::string& name, std::function<void(bool well)> done);
+  std::shared_ptr<const Version> read(const layers::Snapshot& snapshot, std::string& why);
+  void on_releases(const std::vector<layers::ReleaseNews>& all);
   bool begin_load(const std::string& name, Pool& pool);
   void next_load();
   void loaded(const std::string& name, bool well);
@@ -130,6 +146,7 @@
   std::map<worker::Session*, std::unique_ptr<worker::Session>> sessions_;
   io::Graveyard<worker::Session> dead_;
   std::unique_ptr<StoreClient> store_;
+  std::shared_ptr<layers::AgentClient> agent_;  // of this life
   std::map<std::string, Pool> pools_;
   std::map<std::uint64_t, Job> jobs_;
   std::deque<std::uint64_t> for_core_;  // started, in the order of their turn for a core
--- a/tests/apps/programs_test.cpp
+++ b/tests/apps/programs_test.cpp
@@ -128,6 +128,51 @@
                            return name;
                          });
 
+TEST_F(Programs, AReleaseDayFetchesEachChunkOnceABoxAndMixesNothing) {
+  const std::string report = dir + "/report.json";
+  ASSERT_EQ(run({"laureltide-play", kExamples + "/release-day.toml", "--report", report}), 0)
+      << slurp(report) << log();
+  EXPECT_NE(log().find("layers (each chunk once a box): kept"), std::string::npos) << log();
+  EXPECT_NE(log().find("layers (no call on mixed versions): kept"), std::string::npos) << log();
+  const auto doc = nlohmann::json::parse(slurp(report), nullptr, false);
+  ASSERT_TRUE(doc.is_object());
+  EXPECT_GT(doc["layers"]["runs"].get<int>(), 300);
+  EXPECT_GT(doc["layers"]["renewed"].get<int>(), 50);  // calls did move to the new releases
+  EXPECT_EQ(doc["layers"]["boxes"].get<int>(), 2);
+}
+
+// Packed, pushed to a store, fetched by a box, damaged and found out.
+TEST_F(Programs, LayersArePackedPushedAndVerified) {
+  write("model", std::string(300'000, 'm') + std::string(200'000, 'n'));
+  const std::string one = dir + "/one";
+  EXPECT_EQ(
+      run({"laureltide", "layers", "pack", one, dir + "/model", "--function", "decoder", "--release", "1"}),
+      0)
+      << log();
+  EXPECT_EQ(run({"laureltide", "layers", "verify", one}), 0) << log();
+  EXPECT_EQ(run({"laureltide", "layers", "inspect", one, "--against", one}), 0) << log();
+  EXPECT_NE(log().find("fetches 0 of"), std::string::npos) << log();
+  EXPECT_EQ(
+      run({"laureltide", "layers", "pack", one, dir + "/model", "--function", "decoder", "--release", "2"}),
+      1);
+  EXPECT_NE(log().find("is not empty"), std::string::npos) << log();
+  EXPECT_EQ(run({"laureltide", "layers", "pack", dir + "/two", dir + "/model", "--function", "Bad Name",
+                 "--release", "2"}),
+            2);
+  Child store({kBin + "/laureltide-standin", "registry"}, dir + "/registry.log");
+  std::string line;
+  ASSERT_TRUE(store.read_line(line, 20s));
+  const std::string at = "127.0.0.1:" + line.substr(10);
+  EXPECT_EQ(run({"laureltide", "layers", "push", one, "--store", at}), 0) << log();
+  EXPECT_NE(log().find("4 blobs"), std::string::npos) << log();
+  EXPECT_EQ(run({"laureltide", "layers", "push", one, "--store", at}), 0) << log();
+  EXPECT_NE(log().find("0 blobs"), std::string::npos) << log();  // the store has it all
+  for (const auto& blob : std::filesystem::directory_iterator(one + "/blobs/sha256"))
+    std::ofstream(blob.path(), std::ios::app) << "x";
+  EXPECT_EQ(run({"laureltide", "layers", "verify", one}), 1);
+  EXPECT_EQ(run({"laureltide", "layers", "push", one, "--store", at}), 1);  // nothing broken is published
+}
+
 TEST_F(Programs, LedgerToolsReadWhatAGatewayLeft) {
   const std::string none = dir + "/none";
   EXPECT_EQ(run({"laureltide", "ledger", "list", none}), 1);
--- /dev/null
+++ b/tests/check/layers_test.cpp
@@ -0,0 +1,60 @@
+// The judge of layers, on tapes written by hand: what keeps, and each way to break.
+#include "check/layers.h"
+
+#include <gtest/gtest.h>
+
+namespace laureltide::check {
+namespace {
+
+using nlohmann::json;
+
+json release(const char* function, int n, const char* version, const char* blob, const char* layer) {
+  return {{"e", "release"},     {"function", function}, {"release", n},
+          {"version", version}, {"blob", blob},         {"layers", {layer}}};
+}
+json sent(const char* box, const char* what) { return {{"e", "store-sent"}, {"to", box}, {"what", what}}; }
+json ran(const char* function, const char* version, const char* layer) {
+  return {{"e", "ran"},           {"worker", 1},        {"call", "c"},
+          {"function", function}, {"version", version}, {"layers", {layer}}};
+}
+
+struct Layers : testing::Test {
+  std::vector<json> tape{release("f", 1, "v1", "b1", "l1"), release("f", 2, "v2", "b2", "l2"),
+                         release("g", 1, "w1", "c1", "m1")};
+  LayersVerdict with(std::vector<json> more) {
+    more.insert(more.begin(), tape.begin(), tape.end());
+    return judge_layers(more);
+  }
+};
+
+TEST_F(Layers, WhatIsKept) {
+  const auto v =
+      with({sent("box-1", "b1 0-10"), sent("box-1", "b1 10-20"), sent("box-2", "b1 0-10"),
+            sent("box-1", "b2 0-10"), sent("box-1", "index 0-10"), sent("box-1", "index 0-10"),
+            sent("box-1", "manifest"), ran("f", "v1", "l1"), ran("f", "v2", "l2"), ran("g", "w1", "m1")});
+  EXPECT_TRUE(v.kept());
+  EXPECT_EQ(v.ranges, 4U);
+  EXPECT_EQ(v.bytes, 40U);
+  EXPECT_EQ(v.boxes, 2U);
+  EXPECT_EQ(v.runs, 3U);
+  EXPECT_EQ(v.renewed, 1U);
+}
+
+TEST_F(Layers, BytesSentTwiceToABox) {
+  EXPECT_EQ(with({sent("box-1", "b1 0-10"), sent("box-1", "b1 0-10")}).once.size(), 1U);
+  EXPECT_EQ(with({sent("box-1", "b1 0-10"), sent("box-1", "b1 9-20")}).once.size(), 1U);
+  EXPECT_EQ(with({sent("box-1", "b1 10-20"), sent("box-1", "b1 0-11")}).once.size(), 1U);
+  EXPECT_EQ(with({sent("box-1", "b1 10-12"), sent("box-1", "b1 0-20")}).once.size(), 1U);
+}
+
+TEST_F(Layers, ARunOnAnythingElse) {
+  EXPECT_EQ(with({ran("f", "v3", "l1")}).mixed.size(), 1U);  // never released
+  EXPECT_EQ(with({ran("f", "v1", "l2")}).mixed.size(), 1U);  // the bytes of another
+  EXPECT_EQ(with({ran("f", "w1", "m1")}).mixed.size(), 1U);  // another function's
+  json none = ran("f", "v1", "l1");
+  none.erase("version");
+  EXPECT_EQ(with({none}).mixed.size(), 1U);
+}
+
+}  // namespace
+}  // namespace laureltide::check
