--- a/src/apps/layers_tool.h
+++ b/src/apps/layers_tool.h
@@ -11,7 +11,7 @@
   std::string directory, against, function, store, prefix = "functions/", tag = "current";
   std::vector<std::string> files;
   std::uint64_t release = 0;
-  std::size_t average_kb = 256;
+  std::size_t average_kb = 64;
   int level = 3;
   bool json = false;
   CLI::App *pack = nullptr, *push = nullptr, *inspect = nullptr, *verify = nullptr;
--- a/src/layers/chunker.h
+++ b/src/layers/chunker.h
@@ -12,7 +12,7 @@
 namespace laureltide::layers {
 
 struct CutOptions {
-  std::size_t average = 256U << 10;  // a power of two
+  std::size_t average = 64U << 10;  // a power of two; docs/layers.md has what others fetch
   std::size_t least() const { return average / 4; }
   std::size_t most() const { return average * 4; }
   // 4 KiB to 4 MiB: under it the index outweighs what is saved, over it a chunk is no small thing to repeat.
