--- a/tests/layers/agent_test.cpp
+++ b/tests/layers/agent_test.cpp
@@ -247,6 +247,7 @@
   ASSERT_TRUE(run(got)) << got->no.why;
   expect_whole(*got->snapshot);
   EXPECT_GE(agent->scheduler().repeats(), 2U);
+  EXPECT_EQ(agent->counters().corrupt, 0U);  // known for what it is, not for other bytes
 }
 INSTANTIATE_TEST_SUITE_P(Layers, Answers,
                          testing::Values(Fault::Kind::kShort, Fault::Kind::kReset, Fault::Kind::kEndless,
@@ -271,6 +272,7 @@
   start();
   const auto round = ask("decoder");
   EXPECT_FALSE(run(round, 300s));
+  EXPECT_TRUE(round->over);
   EXPECT_EQ(round->no.kind, NoSnapshot::Kind::kStore);
 }
 
@@ -382,8 +384,10 @@
   start();
   const auto a = ask("a");
   ASSERT_TRUE(run(a));
+  const std::uint64_t before = agent->counters().fetched_bytes;
   const auto b = ask("b", Level::kCall, "w2");
   EXPECT_FALSE(run(b));
+  EXPECT_LT(agent->counters().fetched_bytes - before, 20'000U);  // said before half of it was fetched
   EXPECT_EQ(b->no.kind, NoSnapshot::Kind::kRoom);
   expect_whole(*a->snapshot);
   agent->unpin(a->snapshot->pin);
@@ -507,7 +511,7 @@
 }
 
 TEST_F(Box, AVersionThatWasOnlyHalfHereComesBackAfterARestart) {
-  publish("decoder", noise(kSize, 1));
+  const auto first = publish("decoder", noise(kSize, 1));
   start();
   ASSERT_TRUE(run(ask("decoder")));
   const auto second = publish("decoder", noise(kSize, 2));
@@ -517,6 +521,7 @@
   start();
   const auto got = ask("decoder");  // the old one is whole
   ASSERT_TRUE(run(got));
+  EXPECT_EQ(got->snapshot->version, first.version);
   expect_whole(*got->snapshot);
   ASSERT_TRUE(net.run_until([&] {
     for (const ReleaseNews& r : agent->releases())
@@ -543,6 +548,18 @@
   expect_whole(*got->snapshot);
 }
 
+TEST_F(Box, AReleaseThatLostAChunkIsMadeWholeAgainUnasked) {
+  publish("decoder", noise(kSize, 1));
+  start();
+  ASSERT_TRUE(run(ask("decoder")));
+  stop();
+  files.files.erase(files.files.begin());
+  start();
+  ASSERT_FALSE(agent->releases()[0].whole);
+  agent->look("decoder");
+  EXPECT_TRUE(net.run_until([&] { return agent->releases()[0].whole; }, 30s));
+}
+
 // The process ends at each step of the disk, at several times each; whatever it left, the next life serves
 // whole versions and nothing else.
 struct Steps : Box, testing::WithParamInterface<const char*> {};
--- a/tests/layers/files_test.cpp
+++ b/tests/layers/files_test.cpp
@@ -92,6 +92,23 @@
   EXPECT_EQ(ends, (std::vector<DiskEnd>{DiskEnd::kWell, DiskEnd::kCorrupt}));
 }
 
+TEST_F(Files, AFileOfAnotherSizeIsDropped) {
+  std::string file;
+  {
+    net::Loop loop;
+    auto opened = open_disk(dir, [&](std::function<void()> what) { loop.post(std::move(what)); });
+    opened.disk->load();
+    write_all(*opened.disk, loop, [](const Chunk&) {});
+    file = opened.disk->path(key_of("", packed.index.chunks[2].content));
+  }
+  fs::resize_file(file, 10);
+  net::Loop loop;
+  auto opened = open_disk(dir, [&](std::function<void()> what) { loop.post(std::move(what)); });
+  const Disk::Found found = opened.disk->load();
+  EXPECT_EQ(found.chunks.size(), packed.index.chunks.size() - 1);
+  EXPECT_FALSE(fs::exists(file));
+}
+
 TEST_F(Files, TwoAgentsDoNotShareADirectory) {
   net::Loop loop;
   auto post = [&](std::function<void()> what) { loop.post(std::move(what)); };
--- a/tests/layers/format_test.cpp
+++ b/tests/layers/format_test.cpp
@@ -168,8 +168,10 @@
   EXPECT_FALSE(parse(bad));
   EXPECT_EQ(why, "a chunk's size is out of bounds");
   bad = index;
+  bad.size += kMostChunk + 1 - bad.chunks[0].size;
   bad.chunks[0].size = kMostChunk + 1;
   EXPECT_FALSE(parse(bad));
+  EXPECT_EQ(why, "a chunk's size is out of bounds");
   EXPECT_FALSE(parse_index(R"({"layout":2})", why));
   EXPECT_EQ(why, "an index of another layout");
   EXPECT_FALSE(parse_index(R"({"layout":1,"digest":"sha256:00","size":0,"chunks":[]})", why));
