--- a/tests/layers/scheduler_test.cpp
+++ b/tests/layers/scheduler_test.cpp
@@ -254,6 +254,27 @@
   EXPECT_EQ(v.call_off.size(), 1U);
 }
 
+TEST_F(Fetches, ARepeatGoesToAnotherReplica) {
+  scheduler().set_replicas(0, 2);
+  for (int i = 0; i < 10; ++i) {
+    add(Level::kCall);
+    const Start first = *scheduler().next(now);
+    end(first, FetchEnd::kBroken);
+    now = *scheduler().wake(now);
+    const Start second = *scheduler().next(now);
+    EXPECT_NE(second.replica, first.replica);
+    end(second);
+  }
+}
+
+TEST_F(Fetches, WhatNobodyWaitsForIsNeverHedged) {
+  scheduler().set_replicas(0, 2);
+  add(Level::kRenewal), add(Level::kPrefetch);
+  EXPECT_EQ(start_all().size(), 2U);
+  now += 10s;
+  EXPECT_TRUE(start_all().empty());
+}
+
 TEST_F(Fetches, OneReplicaIsNeverHedged) {
   add(Level::kCall);
   start_all();
