--- a/bench/hops.cpp
+++ b/bench/hops.cpp
@@ -21,8 +21,8 @@
 #include "amqp/endpoint.h"
 #include "http/message.h"
 #include "ledger/book.h"
-#include "store/lmdb.h"
 #include "net/loop.h"
+#include "store/lmdb.h"
 #include "worker/server.h"
 
 namespace lt = laureltide;
