Stand-in worker's late answers cannot reach the next session at the same address

Ruled out: the link, the core and the codec, which are unchanged on that path; the old tree passes only because no session comes to stand where one has just been freed. Lines: standin/worker.cpp kept silent and late answers by a session's address and asked only whether that address is in use. They are now dropped when their session ends.

--- a/src/standin/worker.cpp
+++ b/src/standin/worker.cpp
@@ -69,7 +69,7 @@
   ++life_;
   listener_.reset();
   jobs_.clear(), pools_.clear(), for_core_.clear(), load_line_.clear(), cold_work_.clear(), unsaid_.clear();
-  unheard_.clear(), keys_.clear(), loading_timers_.clear();
+  unheard_.clear(), keys_.clear(), loading_timers_.clear(), late_to_.clear();
   loads_ = on_core_ = 0;
   agent_.reset();  // its pins go with its lease, or its next life
   for (auto& [raw, session] : std::exchange(sessions_, {})) {
@@ -115,6 +115,9 @@
     if (job.session == &session) job.session = nullptr;  // its work goes on: nobody told it to stop
   for (auto& [name, pool] : pools_)
     std::erase_if(pool.orders, [&](const Order& o) { return o.session == &session; });
+  // The next session may come to stand at the same address: what was this one's must not reach it.
+  std::erase_if(unsaid_, [&](const auto& u) { return u.first == &session; });
+  std::erase_if(late_to_, [&](const auto& l) { return l.second == &session; });
   const auto it = sessions_.find(&session);
   if (it == sessions_.end()) return;
   auto dead = std::move(it->second);
@@ -179,9 +182,13 @@
   }
   if (late_ > 0) {
     --late_;
-    auto timer = std::make_shared<std::unique_ptr<io::Timer>>();
-    loading_timers_.push_back(host_.timer([this, session, a] {
-      if (sessions_.contains(session)) session->send(a);
+    const std::uint64_t number = next_late_++;
+    late_to_[number] = session;
+    loading_timers_.push_back(host_.timer([this, number, a] {
+      const auto to = late_to_.find(number);
+      if (to == late_to_.end()) return;
+      to->second->send(a);
+      late_to_.erase(to);
     }));
     return loading_timers_.back()->start(late_by_);
   }
--- a/src/standin/worker.h
+++ b/src/standin/worker.h
@@ -167,6 +167,8 @@
   int cores_ = 2;
   int reset_answers_ = 0, twice_ = 0, late_ = 0, ghosts_ = 0, take_and_reset_ = 0;
   Duration late_by_{};
+  std::map<std::uint64_t, worker::Session*> late_to_;  // of answers that are to come late
+  std::uint64_t next_late_ = 1;
 };
 
 }  // namespace laureltide::standin
