--- a/src/apps/laureltide.cpp
+++ b/src/apps/laureltide.cpp
@@ -18,6 +18,7 @@
 
 #include "apps/layers_tool.h"
 #include "apps/ledger_tool.h"
+#include "apps/node.h"
 #include "config/settings.h"
 #include "controller/gateway.h"
 #include "controller/keyring.h"
@@ -294,11 +295,14 @@
   CLI::App* check =
       app.add_subcommand("check", "say every error of a settings file; exit 0 when there is none, else 2");
   check->add_option("-c,--config", file, "settings (TOML)")->required();
+  CLI::App* node = app.add_subcommand(
+      "node", "run as a controller of the platform, told by ROUTER_CONFIG (docs/node.md)");
   CLI11_PARSE(app, argc, argv);
 
   if (app.got_subcommand("ledger")) return ledger.run();
   if (app.got_subcommand("layers")) return layers.run();
   if (*key) return draw_key();
+  if (*node) return lt::apps::run_node();
   auto settings = load_or_tell(file);
   if (!settings) return kBadSettings;
   if (*check) {
--- /dev/null
+++ b/src/apps/node.cpp
@@ -0,0 +1,55 @@
+#include "apps/node.h"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include "net/loop.h"
+#include "node/node.h"
+
+namespace laureltide::apps {
+namespace {
+
+constexpr int kBadConfiguration = 2;
+
+std::string read_file(const char* path) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return in ? text.str() : std::string();
+}
+
+}  // namespace
+
+int run_node() {
+  spdlog::set_default_logger(spdlog::stderr_logger_st("laureltide"));
+  spdlog::set_pattern("%L %v");
+  const char* path = std::getenv("ROUTER_CONFIG");
+  if (!path)
+    return spdlog::error("ROUTER_CONFIG: not set; the platform names a controller's file there"),
+           kBadConfiguration;
+  std::string why;
+  auto config = node::parse_config(read_file(path), why);
+  if (!config) return spdlog::error("{}: {}", path, why), kBadConfiguration;
+
+  net::Loop loop;
+  const auto say = [](node::Level level, const std::string& line) {
+    spdlog::log(level == node::Level::kWarn ? spdlog::level::warn : spdlog::level::info, "{}", line);
+  };
+  const std::string name = config->name;
+  const std::string at = config->listen.text();
+  node::Node controller(loop, std::move(*config), say);
+  loop.on_signal(SIGTERM, [&] { controller.drain([&] { loop.stop(); }); });
+  loop.on_signal(SIGINT, [&] { loop.stop(); });
+  loop.on_signal(SIGHUP, [&] { controller.reload(read_file(path)); });
+  if (!controller.start()) return spdlog::error("{}: cannot be listened on", at), 1;
+  spdlog::info("serving as {} at {}", name, at);
+  loop.run();
+  return 0;
+}
+
+}  // namespace laureltide::apps
--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -3,12 +3,15 @@
 #include <algorithm>
 #include <utility>
 
+#include "worker/link.h"
+
 namespace laureltide::controller {
 namespace {
 
 // A begun stream is bound to no deadline; this bounds what a worker that never ends it can make us hold.
 constexpr Duration kLongestStream = std::chrono::seconds(60);
 constexpr Duration kLongestPatience = std::chrono::hours(1);
+constexpr Duration kNameUnused = std::chrono::minutes(10);  // no order of the module can name it any more
 
 char letter(Outcome outcome) {
   switch (outcome) {
@@ -74,17 +77,18 @@
 Core::Core(io::Host& host, std::shared_ptr<const config::Settings> settings, CoreEvents& events,
            Options options)
     : host_(host),
+      options_(std::move(options)),
       settings_(std::move(settings)),
       events_(events),
-      book_(options.book),
+      book_(options_.book),
       list_(settings_->kind_names),
       started_unix_ms_(host.unix_ms()),
       wall_offset_(host.now().time_since_epoch() - std::chrono::milliseconds(host.unix_ms())),
-      next_request_(options.first_request),
+      next_request_(options_.first_request),
       dead_links_(host),
       timer_(host.timer([this] { ring(); })) {
   inside_ = true;  // the constructor already asks for timers
-  module_ = std::make_unique<Dispatcher>(settings_->module, options.seed, host.now(), *this);
+  module_ = std::make_unique<Dispatcher>(settings_->module, options_.seed, host.now(), *this);
   inside_ = false;
 }
 Core::~Core() { *alive_ = false; }
@@ -119,7 +123,7 @@
   open->call = std::move(call);
   open->done = std::move(done);
   ++counters_.taken;
-  names_.try_emplace(static_cast<std::uint64_t>(function.id), function.name);
+  learn_name(function);
 
   Request request;
   request.id = RequestId{id};
@@ -239,7 +243,7 @@
     if (end.outcome == Outcome::kMoot || !ready || stale) return end_attempt(word, end);
     attempt.waits = false;
   }
-  worker::Link* to = link(attempt.worker);
+  worker::Port* to = link(attempt.worker);
   if (!to) {
     CallEnd end;
     end.outcome = Outcome::kConnectFailed;
@@ -252,6 +256,7 @@
   call.function = open.call.function->name;
   call.name = open.call.name;
   call.key = open.call.key;
+  call.request_class = settings_->class_names[open.call.function->request_class];
   if (open.call.tenant) call.tenant = settings_->tenant_names[*open.call.tenant];
   to->call(std::move(call), open.call.body, word);
   if (attempt.recorded) book_->step("attempt-sent");
@@ -268,7 +273,7 @@
     behind_.push_back([this, word = cookie(it->first, attempt), end](Time) { end_attempt(word, end); });
     return;
   }
-  if (worker::Link* to = link(a.worker)) to->cancel(cookie(it->first, attempt));
+  if (worker::Port* to = link(a.worker)) to->cancel(cookie(it->first, attempt));
 }
 
 void Core::on_call_end(WorkerId, std::uint64_t word, CallEnd end) { end_attempt(word, std::move(end)); }
@@ -357,7 +362,7 @@
   orders_[word] = {worker, function, host_.now(), false};
   ++counters_.holds;
   const std::string* name = name_of(function);
-  worker::Link* to = name ? link(worker) : nullptr;
+  worker::Port* to = name ? link(worker) : nullptr;
   if (!to) {
     behind_.push_back([this, worker, word](Time) { on_hold_end(worker, word, Outcome::kConnectFailed, 0); });
     return;
@@ -377,7 +382,7 @@
 
 void Core::release(WorkerId worker, FunctionId function) {
   const std::string* name = name_of(function);
-  worker::Link* to = name ? link(worker) : nullptr;
+  worker::Port* to = name ? link(worker) : nullptr;
   if (to) to->release(*name);
 }
 
@@ -385,7 +390,7 @@
   const std::uint64_t word = next_order_++;
   orders_[word] = {worker, {}, host_.now(), true};
   ++counters_.probes;
-  worker::Link* to = link(worker);
+  worker::Port* to = link(worker);
   if (!to) {
     behind_.push_back(
         [this, worker, word](Time) { on_probe_end(worker, word, Outcome::kConnectFailed, {}); });
@@ -405,25 +410,33 @@
 
 // ---- Workers ------------------------------------------------------------------------------------------
 
-worker::Link* Core::link(WorkerId worker) {
+worker::Port* Core::link(WorkerId worker) {
   const members::Member* member = list_.find(worker);
   const auto it = links_.find(worker);
   if (!member || member->address.port == 0) return it == links_.end() ? nullptr : it->second.get();
   if (it != links_.end() && it->second->address() == member->address) return it->second.get();
   if (it != links_.end() && !it->second->idle()) return it->second.get();  // until what is out has ended
+  std::unique_ptr<worker::Port> fresh;
+  if (options_.port)
+    fresh = options_.port(worker, member->address, *this);
+  else
+    fresh = own_protocol(worker, member->address);
+  worker::Port* made = fresh.get();
+  if (it != links_.end())
+    dead_links_.bury(std::exchange(it->second, std::move(fresh)));
+  else
+    links_[worker] = std::move(fresh);
+  return made;
+}
+
+std::unique_ptr<worker::Port> Core::own_protocol(WorkerId worker, const io::Address& address) {
   worker::LinkOptions options;
   options.controller = settings_->module.me;
   options.controller_name = settings_->gateway.name;
   options.started_unix_ms = started_unix_ms_;
   options.dial_timeout = settings_->module.bounds.dial_timeout;
   options.max_frame = static_cast<std::uint32_t>(settings_->gateway.most_body + (64U << 10));
-  auto fresh = std::make_unique<worker::Link>(host_, worker, member->address, options, *this);
-  worker::Link* made = fresh.get();
-  if (it != links_.end())
-    dead_links_.bury(std::exchange(it->second, std::move(fresh)));
-  else
-    links_[worker] = std::move(fresh);
-  return made;
+  return std::make_unique<worker::Link>(host_, worker, address, options, *this);
 }
 
 void Core::prune_links() {
@@ -468,7 +481,35 @@
 
 const std::string* Core::name_of(FunctionId function) const {
   const auto it = names_.find(static_cast<std::uint64_t>(function));
-  return it == names_.end() ? nullptr : &it->second;
+  return it == names_.end() ? nullptr : &it->second.text;
+}
+
+void Core::learn_name(const config::Function& function) {
+  Name& name = names_[static_cast<std::uint64_t>(function.id)];
+  name.used = host_.now();
+  if (name.text.empty()) name.text = function.name;
+  if (names_.size() > options_.most_names) forget_names();
+}
+
+// Callers may name functions without end. Past the bound the longer unused half goes: an order for one of
+// them is told as not delivered.
+void Core::forget_names() {
+  std::vector<Time> used;
+  used.reserve(names_.size());
+  for (const auto& [id, name] : names_) used.push_back(name.used);
+  const auto middle = used.begin() + static_cast<std::ptrdiff_t>(used.size() / 2);
+  std::nth_element(used.begin(), middle, used.end());
+  const Time limit = *middle;
+  std::erase_if(names_, [&](const auto& n) { return n.second.used < limit; });
+  if (names_.size() > options_.most_names)  // all named at the same moment
+    std::erase_if(names_, [&](const auto& n) { return n.second.used == limit; });
+}
+
+void Core::tidy() {
+  prune_links();
+  list_.forget_gone([this](WorkerId id) { return links_.contains(id); });
+  const Time old = host_.now() - kNameUnused;
+  std::erase_if(names_, [&](const auto& n) { return n.second.used < old; });
 }
 
 // ---- Peers, logs, time --------------------------------------------------------------------------------
@@ -531,7 +572,7 @@
       const std::size_t number = due.token & 0xff;
       if (it == open_.end() || number >= it->second->attempts.size() || it->second->attempts[number].outcome)
         return;
-      if (worker::Link* to = link(it->second->attempts[number].worker)) to->forget_call(due.token);
+      if (worker::Port* to = link(it->second->attempts[number].worker)) to->forget_call(due.token);
       return end_attempt(due.token, timeout);
     }
     case Due::kDeadline: {
@@ -541,7 +582,7 @@
       if (it == open_.end() || it->second->streaming || it->second->deadline > due.at) return;
       for (std::size_t i = 0; i < it->second->attempts.size(); ++i) {
         if (it->second->attempts[i].outcome) continue;
-        if (worker::Link* to = link(it->second->attempts[i].worker)) to->forget_call(cookie(id, i));
+        if (worker::Port* to = link(it->second->attempts[i].worker)) to->forget_call(cookie(id, i));
         end_attempt(cookie(id, i), timeout);
         if (!open_.contains(id)) return;
       }
@@ -551,7 +592,7 @@
       const auto it = orders_.find(due.token);
       if (it == orders_.end()) return;
       const Order order = it->second;
-      if (worker::Link* to = link(order.worker)) to->forget_hold(due.token);
+      if (worker::Port* to = link(order.worker)) to->forget_hold(due.token);
       order.probe ? on_probe_end(order.worker, due.token, Outcome::kTimeout, {})
                   : on_hold_end(order.worker, due.token, Outcome::kTimeout, 0);
       return;
--- a/src/controller/core.h
+++ b/src/controller/core.h
@@ -17,13 +17,15 @@
 #include "config/settings.h"
 #include "ledger/book.h"
 #include "members/list.h"
-#include "worker/link.h"
+#include "worker/port.h"
 
 namespace laureltide::controller {
 
 struct Call {
   std::string name;  // the caller's, for logs and workers
   const config::Function* function = nullptr;
+  // Owns `function` where the call itself brings its facts; else they are the settings' own.
+  std::shared_ptr<const config::Function> facts;
   std::optional<std::uint32_t> tenant;
   std::string key;
   std::string body;
@@ -77,6 +79,9 @@
     std::uint64_t seed = 1;
     std::uint32_t first_request = 1;  // ids wrap; a test starts close to the end
     ledger::Book* book = nullptr;     // outlives the core
+    // Makes the end towards a worker; absent: the project's own protocol (worker::Link).
+    std::function<std::unique_ptr<worker::Port>(WorkerId, const io::Address&, worker::LinkEvents&)> port = {};
+    std::size_t most_names = 65'536;  // of functions kept for the module's orders; the longest unused go
   };
   Core(io::Host& host, std::shared_ptr<const config::Settings> settings, CoreEvents& events, Options options);
   ~Core() override;
@@ -90,6 +95,8 @@
 
   void take_list(const members::Update& update, bool cached = false);
   void peer_told(std::uint32_t from, std::span<const std::byte> bytes);
+  // Lets go of ends towards workers that have left, and of names long unused. To be called now and then.
+  void tidy();
   // For calls taken from now on. Functions, brokers and the like; what the module was built with stays.
   void use(std::shared_ptr<const config::Settings> settings) { settings_ = std::move(settings); }
 
@@ -97,6 +104,14 @@
   void rewind_ids(std::uint32_t next) { next_request_ = next; }
 
   std::size_t open() const { return open_.size(); }
+  // Sizes of what must not grow with time, for tests and logs.
+  struct Sizes {
+    std::size_t open, names, ports, orders, alarms, members;
+  };
+  Sizes sizes() const {
+    return {open_.size(),   names_.size(),  links_.size(),
+            orders_.size(), alarms_.size(), list_.members().size()};
+  }
   const Counters& counters() const { return counters_; }
   const members::List& list() const { return list_; }
   const config::Settings& settings() const { return *settings_; }
@@ -178,22 +193,30 @@
   void finish(Open& open, Answer answer);
   void discard(std::uint32_t request);
   Answer sorry(const Open& open, Answer::Kind kind) const;
-  worker::Link* link(WorkerId worker);
+  worker::Port* link(WorkerId worker);
   const std::string* name_of(FunctionId function) const;
+  void learn_name(const config::Function& function);
+  void forget_names();
+  std::unique_ptr<worker::Port> own_protocol(WorkerId worker, const io::Address& address);
   void prune_links();
 
   io::Host& host_;
+  Options options_;
   std::shared_ptr<const config::Settings> settings_;
   CoreEvents& events_;
   ledger::Book* book_;
   members::List list_;
   std::int64_t started_unix_ms_;
   Duration wall_offset_{};
-  std::unordered_map<std::uint64_t, std::string> names_;  // of functions that calls have named
+  struct Name {
+    std::string text;
+    Time used{};
+  };
+  std::unordered_map<std::uint64_t, Name> names_;  // of functions that calls have named
   Calls open_;
   std::uint32_t next_request_;
-  std::map<WorkerId, std::unique_ptr<worker::Link>> links_;
-  io::Graveyard<worker::Link> dead_links_;
+  std::map<WorkerId, std::unique_ptr<worker::Port>> links_;
+  io::Graveyard<worker::Port> dead_links_;
   std::unordered_map<std::uint64_t, Order> orders_;
   std::uint64_t next_order_ = 1;
   std::priority_queue<Alarm> alarms_;
--- a/src/members/list.cpp
+++ b/src/members/list.cpp
@@ -133,6 +133,12 @@
   return it == members_.end() ? nullptr : &it->second;
 }
 
+void List::forget_gone(const std::function<bool(WorkerId)>& still_needed) {
+  std::erase_if(members_, [&](const auto& m) {
+    return m.second.state == WorkerState::kGone && !still_needed(WorkerId{m.first});
+  });
+}
+
 Update List::snapshot() const {
   Update update;
   update.epoch = epoch_;
--- a/src/members/list.h
+++ b/src/members/list.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -62,15 +63,18 @@
   // that jumps does not make every worker look restarted.
   Taken take(const Update& update, Duration wall_offset, bool cached = false);
 
+  std::optional<std::uint64_t> version() const { return version_; }  // of the list held
   const Member* find(WorkerId id) const;
   const std::map<std::uint32_t, Member>& members() const { return members_; }
+  // A list that only ever tells changes must not grow with those that left.
+  void forget_gone(const std::function<bool(WorkerId)>& still_needed);
   Update snapshot() const;  // for the cache on disk
 
  private:
   std::uint16_t place(std::vector<std::string>& names, const std::string& name);
 
   std::vector<std::string> kinds_, zones_, cells_;
-  std::map<std::uint32_t, Member> members_;  // gone ones stay for their address until a full list
+  std::map<std::uint32_t, Member> members_;  // gone ones stay for their address until forgotten
   std::int64_t epoch_ = 0;
   std::optional<std::uint64_t> version_;
   bool cached_ = false;
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,254 @@
+#include "node/node.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include "node/intake.h"
+
+namespace laureltide::node {
+namespace {
+
+constexpr int kStatsEvery = 10;                                   // seconds
+constexpr Duration kComeWithin = std::chrono::milliseconds(700);  // after SIGTERM, clients may still come
+constexpr Duration kLookEvery = std::chrono::milliseconds(10);
+constexpr std::size_t kMostOddities = 64;  // kinds told apart
+// Of the descriptors: what the process itself, the feed, the listener and the log hold, and what is accepted
+// or closing at the moment.
+constexpr std::size_t kOwnDescriptors = 24;
+constexpr double kClientsShare = 0.45;  // of the rest; clients in order hold a third of all
+constexpr double kHeldShare = 0.25;     // of the memory, for bodies of open calls
+
+std::size_t of_rest(const Limits& limits, double share) {
+  const double rest = static_cast<double>(limits.sockets - std::min(limits.sockets, kOwnDescriptors));
+  return std::max<std::size_t>(8, static_cast<std::size_t>(rest * share));
+}
+
+front::ServerOptions front_options(const Config& config) {
+  front::ServerOptions options;
+  options.most_connections = of_rest(config.limits, kClientsShare);
+  return options;
+}
+
+controller::Core::Options core_options(const Config& config, const platform::LinkOptions& links,
+                                       platform::Budget& budget, io::Host& host) {
+  controller::Core::Options options;
+  options.seed = config.seed;
+  options.port = [&links, &budget, &host](WorkerId id, const io::Address& at, worker::LinkEvents& events) {
+    return std::make_unique<platform::Link>(host, id, at, links, budget, events);
+  };
+  return options;
+}
+
+platform::LinkOptions link_options(const Config& config) {
+  platform::LinkOptions options;
+  const laureltide::Settings& module = config.settings.module;
+  if (module.bounds.dial_timeout > Duration(0)) options.dial_timeout = module.bounds.dial_timeout;
+  options.quiet = 2 * options.dial_timeout;
+  options.idle = config.idle_closes * 2 / 3;
+  options.streams = config.streams;
+  options.load = config.load;
+  options.tells_company = module.instances.tells_company;
+  return options;
+}
+
+// A line of its own kind once; figures in it would make every line another kind.
+std::string kind_of(std::string_view line) {
+  std::string kind;
+  for (const char c : line.substr(0, 120))
+    if (c < '0' || c > '9') kind += c;
+  return kind;
+}
+
+}  // namespace
+
+Node::Node(io::Host& host, Config config, std::function<void(Level, const std::string&)> say)
+    : host_(host),
+      config_(std::move(config)),
+      say_(std::move(say)),
+      settings_(std::make_shared<config::Settings>(config_.settings)),
+      link_options_(link_options(config_)),
+      core_(host, settings_, *this, core_options(config_, link_options_, budget_, host)),
+      front_(host, front_options(config_), *this),
+      second_(host.timer([this] { second(); })),
+      drain_look_(host.timer([this] { look_at_drain(); })) {
+  budget_.most = of_rest(config_.limits, 1 - kClientsShare);
+  budget_.at_least = budget_.most / 4;
+  budget_.most -= budget_.at_least;
+  most_held_bytes_ =
+      static_cast<std::size_t>(kHeldShare * static_cast<double>(config_.limits.memory_mb << 20));
+}
+Node::~Node() = default;
+
+bool Node::start() {
+  for (const std::string& key : config_.unread) say_(Level::kInfo, "settings." + key + " means nothing here");
+  take_known(config_.known);
+  if (!front_.listen(config_.listen)) return false;
+  feed_ = std::make_unique<platform::Follower>(
+      host_, config_.bus, roster_.last(), platform::Follower::Options{},
+      [this](const platform::Event& event) { return take_event(event.id, event.data); },
+      [this](const std::string& why) { odd("event bus: " + why); });
+  core_.on_gap = [] {};  // events are numbered: a gap shows before the core could see it
+  second_due_ = host_.now() + std::chrono::seconds(1);
+  second_->start(std::chrono::seconds(1));
+  return true;
+}
+
+// ---- The list -----------------------------------------------------------------------------------------
+
+bool Node::take_event(std::uint64_t number, std::string_view data) {
+  using Verdict = platform::Roster::Verdict;
+  platform::Roster::Taken taken = roster_.take(number, data);
+  if (taken.verdict == Verdict::kGap) {
+    if (gap_at_ != number) {  // the bus is asked again, once, for what is missing
+      gap_at_ = number;
+      return false;
+    }
+    roster_.step_over(number);
+    taken = roster_.take(number, data);
+    // The core's list stands at another version: what is missing is missing, what comes counts.
+  }
+  if (taken.verdict == Verdict::kBad) {
+    odd("event bus: an event that cannot be read: " + taken.why);
+    roster_.step_over(number + 1);
+    return true;
+  }
+  if (taken.verdict != Verdict::kTaken) return true;
+  taken.update.from = core_.list().version();
+  core_.take_list(taken.update);
+  return true;
+}
+
+void Node::take_known(const std::vector<Known>& known) {
+  for (const Known& event : known)
+    if (event.number > roster_.last() && !take_event(event.number, event.data))
+      take_event(event.number, event.data);
+  if (feed_) feed_->skip_to(roster_.last());
+}
+
+void Node::reload(std::string_view json) {
+  std::string why;
+  auto fresh = parse_config(json, why);
+  if (!fresh) return say_(Level::kWarn, "reload: " + why + "; the old configuration stands");
+  take_known(fresh->known);
+  if (fresh->bus != feed_->bus()) {
+    say_(Level::kInfo, "reload: the bus is at " + fresh->bus.text());
+    feed_->move(fresh->bus);
+  }
+  config_.bus = fresh->bus;
+  if (fresh->listen != config_.listen || fresh->limits.sockets != config_.limits.sockets ||
+      fresh->limits.memory_mb != config_.limits.memory_mb)
+    say_(Level::kWarn, "reload: another address or other limits count from the next start on");
+}
+
+// ---- Calls --------------------------------------------------------------------------------------------
+
+void Node::turn_away(front::Server::Ticket ticket, front::Reply::Kind kind, std::string why) {
+  front::Reply reply;
+  reply.kind = kind;
+  if (kind == front::Reply::Kind::kException) {
+    odd("a call that is none: " + why);
+    reply.text = std::move(why);
+  }
+  front_.respond(ticket, reply);
+}
+
+void Node::on_call(front::Server::Ticket ticket, front::Fields fields, std::string body) {
+  using Kind = front::Reply::Kind;
+  Read read = read_call(fields, std::move(body), *settings_);
+  if (!read.call) return turn_away(ticket, Kind::kException, std::move(read.why));
+  if (ids_.contains(read.id)) return turn_away(ticket, Kind::kException, "call: an id that is open");
+  const bool closed = drained_ && host_.now() >= closes_at_;
+  const std::size_t bytes = read.call->body.size();
+  if (closed || held_bytes_ + bytes > most_held_bytes_) return turn_away(ticket, Kind::kRefused, {});
+  tickets_[ticket] = {read.id, 0, bytes};
+  ids_[read.id] = ticket;
+  held_bytes_ += bytes;
+  std::uint32_t number = 0;
+  const auto no = core_.take(
+      std::move(*read.call),
+      [this, ticket](controller::Answer answer) {
+        close(ticket);
+        const Bounds& bounds = settings_->module.bounds;
+        front_.respond(ticket, to_reply(std::move(answer), bounds.retry_after, bounds.max_retry_after));
+      },
+      &number);
+  if (no) {
+    close(ticket);
+    return turn_away(ticket, Kind::kRefused, {});
+  }
+  if (const auto it = tickets_.find(ticket); it != tickets_.end()) it->second.call = number;
+}
+
+void Node::on_gone(front::Server::Ticket ticket) {
+  const auto it = tickets_.find(ticket);
+  if (it == tickets_.end()) return;
+  const std::uint32_t call = it->second.call;
+  close(ticket);
+  core_.abandon(call);
+}
+
+void Node::close(front::Server::Ticket ticket) {
+  const auto it = tickets_.find(ticket);
+  if (it == tickets_.end()) return;
+  ids_.erase(it->second.id);
+  held_bytes_ -= it->second.bytes;
+  tickets_.erase(it);
+}
+
+// ---- The end ------------------------------------------------------------------------------------------
+
+void Node::drain(std::function<void()> done) {
+  drained_ = std::move(done);
+  closes_at_ = host_.now() + kComeWithin;
+  say_(Level::kInfo, "ending: " + std::to_string(core_.open()) + " calls open");
+  drain_look_->start(kComeWithin);
+}
+
+void Node::look_at_drain() {
+  front_.stop_listening();
+  // Those that nobody waits for any more end by themselves; what is owed is the clients'.
+  if (!tickets_.empty()) return drain_look_->start(kLookEvery);
+  say_(Level::kInfo, "all answered; bye");
+  drained_();
+}
+
+// ---- Words --------------------------------------------------------------------------------------------
+
+void Node::odd(const std::string& what) {
+  const std::string kind = kind_of(what);
+  const auto it = oddities_.find(kind);
+  if (it != oddities_.end()) return void(++it->second);
+  if (oddities_.size() >= kMostOddities) return;
+  oddities_[kind] = 1;
+  say_(Level::kWarn, what);
+}
+void Node::on_oddity(const std::string& what) { odd(what); }
+void Node::on_log(const std::string& line) { odd("module: " + line); }
+void Node::on_ended(const controller::Ended&) {}  // a line a call is more than the log's share of the memory
+
+void Node::second() {
+  const Time now = host_.now();
+  worst_lateness_ = std::max(worst_lateness_, now - second_due_);
+  second_due_ = now + std::chrono::seconds(1);
+  second_->start(std::chrono::seconds(1));
+  core_.tidy();
+  if (++seconds_ % kStatsEvery == 0) say_stats();
+}
+
+void Node::say_stats() {
+  const controller::Counters& c = core_.counters();
+  const controller::Core::Sizes sizes = core_.sizes();
+  std::ostringstream line;
+  line << "stats taken=" << c.taken << " served=" << c.served << " refused=" << c.refused
+       << " failed=" << c.failed << " abandoned=" << c.abandoned << " turned_away=" << c.turned_away
+       << " attempts=" << c.attempts << " holds=" << c.holds << " probes=" << c.probes
+       << " open=" << sizes.open << " clients=" << front_.connections() << " to_invokers=" << budget_.open
+       << " names=" << sizes.names << " members=" << sizes.members << " alarms=" << sizes.alarms
+       << " late_ms=" << std::chrono::duration_cast<std::chrono::milliseconds>(worst_lateness_).count();
+  worst_lateness_ = {};
+  say_(Level::kInfo, line.str());
+  for (auto& [kind, count] : oddities_)
+    if (count > 1) say_(Level::kInfo, std::to_string(count) + " times: " + kind);
+}
+
+}  // namespace laureltide::node
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,92 @@
+// A controller of the platform: the front, the core, its links, the feed. What `laureltide node` runs.
+//
+// Everything about a call is the module's word; what is decided here is what can be a call at all, and who
+// may still be taken in: an id that is open already, a client past the bounds, a node that ends.
+//
+// One thread, the host's. Bounds, from the platform's limits: calls and bytes held, connections of clients
+// and to invokers (docs/node.md).
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "controller/core.h"
+#include "front/server.h"
+#include "node/config.h"
+#include "platform/feed.h"
+#include "platform/roster.h"
+
+namespace laureltide::node {
+
+enum class Level { kInfo, kWarn };
+
+class Node : public controller::CoreEvents, public front::Server::Events {
+ public:
+  Node(io::Host& host, Config config, std::function<void(Level, const std::string&)> say);
+  ~Node() override;
+
+  bool start();  // false: `listen` cannot be listened on
+  // A configuration that came anew: the bus and what it knows; what else changed needs a restart.
+  void reload(std::string_view json);
+  // Serves on while clients may still come, then takes nothing more and answers all that is open; `done`
+  // comes then.
+  void drain(std::function<void()> done);
+
+  controller::Core& core() { return core_; }
+  const platform::Roster& roster() const { return roster_; }
+  const platform::Follower& feed() const { return *feed_; }
+  io::Address address() const { return front_.address(); }
+  std::size_t clients() const { return front_.connections(); }
+  std::size_t ids() const { return tickets_.size(); }
+  std::size_t held_bytes() const { return held_bytes_; }
+
+  // ---- front::Server::Events ----
+  void on_call(front::Server::Ticket ticket, front::Fields fields, std::string body) override;
+  void on_gone(front::Server::Ticket ticket) override;
+  bool healthy() override { return !drained_; }
+  void on_oddity(const std::string& what) override;
+
+  // ---- controller::CoreEvents ----
+  void on_ended(const controller::Ended& ended) override;
+  void on_log(const std::string& line) override;
+  void on_tell(std::optional<std::uint32_t>, std::span<const std::byte>) override {}  // no peers here
+
+ private:
+  struct Open {
+    std::uint64_t id = 0;  // the client's
+    std::uint32_t call = 0;
+    std::size_t bytes = 0;
+  };
+  bool take_event(std::uint64_t number, std::string_view data);
+  void take_known(const std::vector<Known>& known);
+  void turn_away(front::Server::Ticket ticket, front::Reply::Kind kind, std::string why);
+  void close(front::Server::Ticket ticket);
+  void odd(const std::string& what);
+  void second();
+  void say_stats();
+  void look_at_drain();
+
+  io::Host& host_;
+  Config config_;
+  std::function<void(Level, const std::string&)> say_;
+  std::shared_ptr<const config::Settings> settings_;
+  platform::LinkOptions link_options_;
+  platform::Budget budget_;
+  platform::Roster roster_;
+  controller::Core core_;
+  front::Server front_;
+  std::unique_ptr<platform::Follower> feed_;
+  std::unordered_map<front::Server::Ticket, Open> tickets_;
+  std::unordered_map<std::uint64_t, front::Server::Ticket> ids_;  // of open calls
+  std::size_t held_bytes_ = 0, most_held_bytes_ = 0;
+  std::unique_ptr<io::Timer> second_, drain_look_;
+  Time second_due_{}, closes_at_{};
+  Duration worst_lateness_{};
+  std::function<void()> drained_;
+  int seconds_ = 0;
+  std::uint64_t gap_at_ = 0;
+  std::map<std::string, std::uint64_t> oddities_;  // told once each, with a count in the stats
+};
+
+}  // namespace laureltide::node
--- /dev/null
+++ b/src/platform/feed.h
@@ -0,0 +1,90 @@
+// The platform's event bus: server-sent events over HTTP/1.1, followed with Last-Event-ID. Sans-I/O.
+//
+// Follower keeps one connection. It ends at a break, at `silent` without a byte (the bus comments each
+// second), and at anything that cannot be read; the next one asks from the last event held. The first try
+// after a break is made at once, those after refusals with jittered back-off. Half an event is no event.
+//
+// Bounds: a head of kMostHead, a line and an event of kMostEvent bytes; over them the connection ends.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "base/io.h"
+
+namespace laureltide::platform {
+
+struct Event {
+  std::uint64_t id = 0;
+  std::string data;
+};
+
+// The bytes of a response to GET /bus/read, in any cuts, to events. After false it takes nothing more.
+class EventParser {
+ public:
+  static constexpr std::size_t kMostHead = 16U << 10;
+  static constexpr std::size_t kMostEvent = 1U << 20;
+  // False when the bytes can be no such response; why() tells.
+  bool feed(std::string_view bytes, const std::function<void(Event)>& heard);
+  bool in_body() const { return state_ != State::kHead; }
+  const std::string& why() const { return why_; }
+
+ private:
+  enum class State { kHead, kBody, kChunkSize, kChunk, kChunkEnd, kOver };
+  bool bad(std::string why);
+  bool read_head(std::string_view head);
+  bool lines(std::string_view bytes, const std::function<void(Event)>& heard);
+  bool line(std::string_view text, const std::function<void(Event)>& heard);
+
+  State state_ = State::kHead;
+  std::string held_;  // a head or a chunk's size, until it is whole
+  std::size_t chunk_left_ = 0;
+  std::string line_, data_;
+  bool after_cr_ = false;
+  std::optional<std::uint64_t> id_;
+  std::string why_;
+};
+
+class Follower : public io::ConnectionEvents {
+ public:
+  struct Options {
+    Duration silent = std::chrono::milliseconds(2200);  // two comments missed
+    Duration dial_timeout = std::chrono::milliseconds(500);
+    Duration first_back_off = std::chrono::milliseconds(50);
+    Duration longest_back_off = std::chrono::milliseconds(800);
+  };
+  // `heard` is given each event once, in order, above `last`. It returns false for one that cannot be taken
+  // yet (a gap): the bus is asked again from the last one held. `lost` is told why a connection ended.
+  Follower(io::Host& host, io::Address bus, std::uint64_t last, Options options,
+           std::function<bool(const Event&)> heard, std::function<void(const std::string&)> lost);
+
+  // Another bus from now on; the numbers go on.
+  void move(const io::Address& bus);
+  // Events up to this one came by another way.
+  void skip_to(std::uint64_t last) { last_ = std::max(last_, last); }
+  std::uint64_t last() const { return last_; }
+  const io::Address& bus() const { return bus_; }
+  bool connected() const { return parser_.in_body(); }
+
+  void on_open() override;
+  std::size_t on_bytes(std::string_view bytes) override;
+  void on_closed(io::Closed why) override;
+
+ private:
+  void dial();
+  void drop(const std::string& why);
+
+  io::Host& host_;
+  io::Address bus_;
+  std::uint64_t last_;
+  Options options_;
+  std::function<bool(const Event&)> heard_;
+  std::function<void(const std::string&)> lost_;
+  EventParser parser_;
+  std::unique_ptr<io::Connection> connection_;
+  std::unique_ptr<io::Timer> timer_, silence_;
+  Duration back_off_{};
+  Time dialed_{};
+};
+
+}  // namespace laureltide::platform
--- /dev/null
+++ b/src/platform/link.cpp
@@ -0,0 +1,356 @@
+#include "platform/link.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <functional>
+#include <utility>
+
+namespace laureltide::platform {
+
+// One connection. It keeps which ids are out on it; what they mean is the link's.
+class Link::Wire : public io::ConnectionEvents {
+ public:
+  Wire(Link& link, std::size_t read_ahead) : link_(link), timer_(link.host_.timer([this] { on_timer(); })) {
+    ++link_.budget_.open;
+    io::StreamOptions options;
+    options.connect_timeout = link_.options_.dial_timeout;
+    options.read_ahead = read_ahead;
+    connection_ = link_.host_.connect(link_.address_, options, *this);
+    timer_->start(link_.options_.dial_timeout);
+  }
+  ~Wire() override {
+    if (connection_) --link_.budget_.open;
+  }
+
+  void close() {
+    timer_->stop();
+    if (!connection_) return;
+    --link_.budget_.open;
+    connection_.reset();
+  }
+
+  void ask(std::uint64_t id, const Key& key, std::string_view frame) {
+    out[id] = key;
+    put(frame);
+    if (!asked_at) asked_at = link_.host_.now();
+  }
+  void put(std::string_view frame) { connection_->write(frame); }
+  void rest() {  // nothing is out any more
+    if (open && out.empty()) timer_->start(link_.options_.idle);
+  }
+  bool quiet() const { return asked_at && link_.host_.now() - *asked_at > link_.options_.quiet; }
+  std::size_t unsent() const { return connection_ && open ? connection_->unsent() : 0; }
+
+  std::map<std::uint64_t, Key> out;
+  bool open = false;
+  bool retired = false;          // gets nothing new, and ends with what is out
+  std::optional<Time> asked_at;  // of the first frame since the last byte came
+  std::size_t unknown = 0;
+  std::map<std::uint64_t, std::string> waiting;  // frames until the connection stands, by id
+
+  // ---- io::ConnectionEvents ----
+  void on_open() override {
+    open = true;
+    timer_->stop();
+    for (const auto& [id, frame] : std::exchange(waiting, {})) connection_->write(frame);
+    if (!out.empty()) asked_at = link_.host_.now();
+    rest();
+  }
+  std::size_t on_bytes(std::string_view bytes) override {
+    asked_at.reset();
+    std::size_t used = 0;
+    while (connection_) {
+      const ParseResult r = parse(bytes.substr(used), kFromInvoker);
+      if (r.kind == ParseResult::Kind::kNeedMore) break;
+      if (r.kind == ParseResult::Kind::kBad) {
+        link_.drop(*this, Outcome::kReset, std::string(r.why), r.id);
+        return bytes.size();
+      }
+      used += r.size;
+      link_.on_frame(*this, r.frame);
+    }
+    if (connection_ && !out.empty()) asked_at = link_.host_.now();
+    return used;
+  }
+  void on_closed(io::Closed why) override {
+    const bool never = !open;
+    link_.drop(*this, never ? Outcome::kConnectFailed : Outcome::kReset,
+               why == io::Closed::kByPeer ? "the invoker closed the connection" : "the connection broke");
+  }
+
+ private:
+  void on_timer() {
+    if (!open) return link_.drop(*this, Outcome::kConnectFailed, "no connection in time");
+    if (out.empty()) link_.drop(*this, Outcome::kReset, "");
+  }
+
+  Link& link_;
+  std::unique_ptr<io::Timer> timer_;
+  std::unique_ptr<io::Connection> connection_;
+};
+
+namespace {
+
+constexpr std::size_t kReadAhead = kHeadBytes + kMostFields + kMostBody + kCheckBytes + (16U << 10);
+
+std::optional<float> number(std::string_view text) {
+  float value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value)) return std::nullopt;
+  return value;
+}
+
+Found found_of(std::string_view note) {
+  if (note == "resident") return Found::kLoaded;
+  if (note == "booted") return Found::kBeganLoad;
+  if (note == "rode") return Found::kAwaitedLoad;
+  if (note == "boot_error") return Found::kLoadFailed;
+  return Found::kUntold;
+}
+
+}  // namespace
+
+Link::Link(io::Host& host, WorkerId worker, io::Address address, const LinkOptions& options, Budget& budget,
+           worker::LinkEvents& events)
+    : host_(host),
+      worker_(worker),
+      address_(std::move(address)),
+      options_(options),
+      budget_(budget),
+      events_(events),
+      dead_(host),
+      later_timer_(host.timer([this] {
+        const auto due = std::exchange(later_, {});
+        for (const auto& what : due) what();
+      })) {}
+Link::~Link() = default;
+
+void Link::later(std::function<void()> what) {
+  if (later_.empty()) later_timer_->start(Duration(0));
+  later_.push_back(std::move(what));
+}
+
+std::uint64_t Link::fresh_id() { return host_.random(); }
+
+void Link::call(worker::Call call, std::string_view body, std::uint64_t cookie) {
+  const auto id = parse_id(call.name);
+  std::string fields =
+      "c=" + call.request_class + ",k=" + call.function + ",w=" + std::to_string(call.patience_ms);
+  if (!call.key.empty()) fields += ",i=" + call.key;
+  give(Kind::kCall, cookie, id.value_or(0), Code::kCall, fields, body);
+}
+
+void Link::hold(const std::string& function, int instances, std::uint64_t cookie) {
+  give(Kind::kHold, cookie, fresh_id(), Code::kLoad, "k=" + function + ",units=" + std::to_string(instances),
+       {});
+}
+
+void Link::probe(std::uint64_t cookie) { give(Kind::kProbe, cookie, fresh_id(), Code::kStats, {}, {}); }
+
+void Link::give(Kind kind, std::uint64_t cookie, std::uint64_t id, Code code, std::string_view fields,
+                std::string_view body) {
+  const Key key{kind == Kind::kCall, cookie};
+  Wire* wire = pick(id);
+  asked_[key] = {kind, cookie, id, wire};
+  if (!wire)  // not handed to any transport: it never ran
+    return later([this, key] {
+      const auto it = asked_.find(key);
+      if (it == asked_.end()) return;
+      const Asked asked = it->second;
+      asked_.erase(it);
+      end(asked.cookie, asked.kind, Outcome::kFull, "no connection is free");
+    });
+  scratch_.clear();
+  write(scratch_, kFromController, code, id, fields, body);
+  if (wire->open) return wire->ask(id, key, scratch_);
+  wire->out[id] = key;
+  wire->waiting[id] = scratch_;
+}
+
+// An idle connection, else another while there is room, else the least laden one that can be trusted.
+Link::Wire* Link::pick(std::uint64_t id) {
+  Wire* idle = nullptr;
+  Wire* least = nullptr;
+  Wire* oldest_bad = nullptr;
+  for (const auto& wire : wires_) {
+    const bool bad = wire->retired || wire->quiet();
+    if (bad && (!oldest_bad || wire->out.size() < oldest_bad->out.size())) oldest_bad = wire.get();
+    if (bad || wire->out.size() >= options_.streams || wire->out.contains(id)) continue;
+    if (wire->out.empty() && wire->open) idle = wire.get();  // the newest: the oldest may idle out
+    if (!least || wire->out.size() < least->out.size()) least = wire.get();
+  }
+  if (idle) return idle;
+  const std::size_t most = budget_.most + (least ? 0 : budget_.at_least);
+  if (!least && wires_.size() >= options_.most_own && oldest_bad && oldest_bad->out.empty())
+    drop(*oldest_bad, Outcome::kReset, "");
+  if (wires_.size() < options_.most_own && budget_.open < most) {
+    wires_.push_back(std::make_unique<Wire>(*this, kReadAhead));
+    return wires_.back().get();
+  }
+  return least;
+}
+
+void Link::cancel(std::uint64_t cookie) {
+  const Key key{true, cookie};
+  const auto it = asked_.find(key);
+  if (it == asked_.end() || !it->second.wire) return;
+  const bool unsent = it->second.wire->waiting.contains(it->second.id);
+  give_up(key, false);
+  later([this, cookie, unsent] {
+    events_.on_call_end(worker_, cookie, {unsent ? Outcome::kMoot : Outcome::kCancelled, {}, {}, {}, {}, {}});
+  });
+}
+
+void Link::forget_call(std::uint64_t cookie) { give_up({true, cookie}, true); }
+void Link::forget_hold(std::uint64_t cookie) { give_up({false, cookie}, true); }
+
+// Nobody waits for it any more. What went unanswered marks its connection: an answer to come would only say
+// that it was late, and one that never comes that the connection is dead.
+void Link::give_up(const Key& key, bool unanswered) {
+  const auto it = asked_.find(key);
+  if (it == asked_.end()) return;
+  const Asked asked = it->second;
+  asked_.erase(it);
+  if (!asked.wire) return;
+  Wire& wire = *asked.wire;
+  wire.out.erase(asked.id);
+  if (wire.waiting.erase(asked.id) > 0) return wire.rest();
+  wire.retired |= unanswered;
+  const bool stuck = wire.unsent() > 0;  // its own bytes may be among them, and cannot be called back
+  if (asked.kind == Kind::kCall && !stuck) {
+    scratch_.clear();
+    write(scratch_, kFromController, Code::kGiveUp, asked.id, {}, {});
+    wire.put(scratch_);
+  }
+  if (stuck || (wire.retired && wire.out.empty()))
+    later([this, gone = &wire] {
+      const auto w = std::find_if(wires_.begin(), wires_.end(), [&](auto& x) { return x.get() == gone; });
+      if (w != wires_.end() && ((*w)->retired || (*w)->unsent() > 0))
+        drop(**w, Outcome::kReset, "it took no bytes");
+    });
+  else
+    wire.rest();
+}
+
+void Link::release(const std::string& function) {
+  const auto id = parse_id(function);
+  if (!id) return;
+  // Only a connection that stands: without one there is nothing of ours that could not as well idle out.
+  for (const auto& wire : wires_) {
+    if (!wire->open || wire->retired || wire->quiet()) continue;
+    scratch_.clear();
+    write(scratch_, kFromController, Code::kUnload, *id, {}, {});
+    return wire->put(scratch_);
+  }
+}
+
+void Link::on_frame(Wire& wire, const Frame& frame) {
+  const auto out = wire.out.find(frame.id);
+  const auto asked = out == wire.out.end() ? asked_.end() : asked_.find(out->second);
+  if (asked == asked_.end()) {
+    // A second copy, a late one, or one under an id that was never sent: passed over, but not without end.
+    events_.on_oddity(worker_, "an answer that nobody waits for");
+    if (++wire.unknown > options_.most_unknown) drop(wire, Outcome::kReset, "answers that nobody waits for");
+    return;
+  }
+  const Asked what = asked->second;
+  const auto code = static_cast<Code>(frame.code);
+  const bool probed = code == Code::kHealthy || code == Code::kUnhealthy;
+  const bool fits = what.kind == Kind::kProbe ? probed
+                    : what.kind == Kind::kHold
+                        ? code == Code::kOk || code == Code::kFull || code == Code::kError
+                        : code == Code::kOk || code == Code::kMiss || code == Code::kFull ||
+                              code == Code::kError || code == Code::kOver;
+  if (!fits) return drop(wire, Outcome::kReset, "an answer of a code that does not fit", frame.id);
+  wire.out.erase(out);
+  asked_.erase(asked);
+  if (wire.retired && wire.out.empty())
+    later([this, gone = &wire] {
+      const auto w = std::find_if(wires_.begin(), wires_.end(), [&](auto& x) { return x.get() == gone; });
+      if (w != wires_.end() && (*w)->out.empty()) drop(**w, Outcome::kReset, "");
+    });
+  else
+    wire.rest();
+  const Outcome outcome = code == Code::kOk || code == Code::kHealthy ? Outcome::kOk
+                          : code == Code::kMiss                       ? Outcome::kMiss
+                          : code == Code::kFull                       ? Outcome::kFull
+                          : code == Code::kOver                       ? Outcome::kMoot
+                                                                      : Outcome::kError;
+  if (what.kind == Kind::kProbe)
+    return events_.on_probe_end(worker_, what.cookie, outcome, report_of(frame.fields));
+  if (what.kind == Kind::kHold) {
+    const auto units = number(field(frame.fields, "units").value_or(""));
+    return events_.on_hold_end(worker_, what.cookie, outcome,
+                               static_cast<int>(std::clamp(units.value_or(0), 0.0F, 1e6F)));
+  }
+  worker::LinkEvents::CallEnd end;
+  end.outcome = outcome;
+  end.found = found_of(field(frame.fields, "note").value_or(""));
+  if (options_.tells_company)
+    end.company = static_cast<int>(
+        std::clamp(number(field(frame.fields, "ahead").value_or("0")).value_or(0), 0.0F, 1e6F));
+  end.report = report_of(frame.fields);
+  end.body = frame.body;
+  events_.on_call_end(worker_, what.cookie, std::move(end));
+}
+
+// "load=inflight:7;util:0.61"
+LoadReport Link::report_of(std::string_view fields) const {
+  LoadReport report;
+  std::string_view load = field(fields, "load").value_or("");
+  while (!load.empty()) {
+    const std::size_t semicolon = load.find(';');
+    const std::string_view pair = load.substr(0, semicolon);
+    load = semicolon == std::string_view::npos ? std::string_view{} : load.substr(semicolon + 1);
+    const std::size_t colon = pair.find(':');
+    if (colon == std::string_view::npos) continue;
+    const auto named = std::find_if(options_.load.begin(), options_.load.end(),
+                                    [&](const auto& known) { return known.first == pair.substr(0, colon); });
+    const auto value = number(pair.substr(colon + 1));
+    if (named == options_.load.end() || !value) continue;
+    switch (named->second) {
+      case LoadValue::kInHand: report.in_hand = value; break;
+      case LoadValue::kWaiting: report.waiting = value; break;
+      case LoadValue::kBusyCores: report.busy_cores = value; break;
+      case LoadValue::kRunMs: report.run_ms = value; break;
+      case LoadValue::kServed: report.served_per_s = value; break;
+      case LoadValue::kErrors: report.errors_per_s = value; break;
+      case LoadValue::kMemory: report.memory_at_work = value; break;
+      case LoadValue::kLoads: report.loads = value; break;
+    }
+  }
+  return report;
+}
+
+// The connection ends. `spoilt` is the id of an answer that could not be read: that call has run, and the
+// invoker is there. The others on it are told `for_the_rest`.
+void Link::drop(Wire& wire, Outcome for_the_rest, const std::string& why,
+                std::optional<std::uint64_t> spoilt) {
+  const auto it = std::find_if(wires_.begin(), wires_.end(), [&](auto& w) { return w.get() == &wire; });
+  if (it == wires_.end()) return;
+  std::unique_ptr<Wire> owned = std::move(*it);
+  wires_.erase(it);
+  const auto out = std::exchange(wire.out, {});
+  wire.close();
+  if (spoilt) events_.on_oddity(worker_, "closed a connection: " + why);
+  for (const auto& [id, key] : out) {
+    const auto asked = asked_.find(key);
+    if (asked == asked_.end()) continue;
+    const Asked what = asked->second;
+    asked_.erase(asked);
+    const bool own = spoilt == id && what.kind == Kind::kCall;
+    end(what.cookie, what.kind, own ? Outcome::kError : for_the_rest, why);
+  }
+  dead_.bury(std::move(owned));
+}
+
+void Link::end(std::uint64_t cookie, Kind kind, Outcome outcome, const std::string& why) {
+  switch (kind) {
+    case Kind::kCall: return events_.on_call_end(worker_, cookie, {outcome, {}, {}, {}, why, {}});
+    case Kind::kHold: return events_.on_hold_end(worker_, cookie, outcome, 0);
+    case Kind::kProbe: return events_.on_probe_end(worker_, cookie, outcome, {});
+  }
+}
+
+}  // namespace laureltide::platform
--- /dev/null
+++ b/src/platform/link.h
@@ -0,0 +1,102 @@
+// The controller's end towards one invoker, in the platform's binary frames. A worker::Port.
+//
+// A few connections, opened at need. A call takes an idle one where there is one, opens another while the
+// budget that all links share has room, and shares the least laden one after that: what is spoilt or breaks
+// takes as few other calls with it as can be. What may not be trusted gets nothing new: a connection on which
+// an attempt went unanswered, or that is silent for `quiet` while something is out there. It keeps what is
+// out until that has ended. A dial that never comes up proves that nothing ran.
+//
+// Told as never run: a miss, full, "was over", a dial that failed, a call given up before its connection
+// stood. Told as may have run: everything handed to the transport whose answer did not come, or came spoilt.
+//
+// Bounds: `streams` frames out a connection; `most_own` connections a link and Budget::most in all, over them
+// a call ends as full; `most_unknown` answers that nobody waits for, over it the connection ends.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "base/io.h"
+#include "platform/frame.h"
+#include "worker/port.h"
+
+namespace laureltide::platform {
+
+// Connections of all links together, so that descriptors are never used up.
+struct Budget {
+  std::size_t open = 0;
+  std::size_t most = 64;      // past it a link shares what it has
+  std::size_t at_least = 32;  // above `most`, for links that have none
+};
+
+enum class LoadValue { kInHand, kWaiting, kBusyCores, kRunMs, kServed, kErrors, kMemory, kLoads };
+
+struct LinkOptions {
+  Duration dial_timeout = std::chrono::milliseconds(250);
+  Duration idle = std::chrono::seconds(20);         // an idle connection goes before the invoker ends it
+  Duration quiet = std::chrono::milliseconds(500);  // silence while something is out, then nothing new
+  std::size_t streams = 32;
+  std::size_t most_own = 16;
+  std::size_t most_unknown = 64;
+  std::vector<std::pair<std::string, LoadValue>> load;  // names of a report's values, as the settings list
+  bool tells_company = false;
+};
+
+class Link : public worker::Port {
+ public:
+  Link(io::Host& host, WorkerId worker, io::Address address, const LinkOptions& options, Budget& budget,
+       worker::LinkEvents& events);
+  ~Link() override;
+
+  // ---- Port ----
+  void call(worker::Call call, std::string_view body, std::uint64_t cookie) override;
+  void cancel(std::uint64_t cookie) override;
+  void forget_call(std::uint64_t cookie) override;
+  void forget_hold(std::uint64_t cookie) override;
+  void hold(const std::string& function, int instances, std::uint64_t cookie) override;
+  void release(const std::string& function) override;
+  void probe(std::uint64_t cookie) override;
+  const io::Address& address() const override { return address_; }
+  bool idle() const override { return asked_.empty(); }
+
+  std::size_t connections() const { return wires_.size(); }
+
+ private:
+  enum class Kind : std::uint8_t { kCall, kHold, kProbe };
+  class Wire;
+  struct Asked {
+    Kind kind = Kind::kCall;
+    std::uint64_t cookie = 0;
+    std::uint64_t id = 0;
+    Wire* wire = nullptr;  // none: its end is under way
+  };
+  using Key = std::pair<bool, std::uint64_t>;  // call or not, cookie: calls' and orders' are drawn apart
+
+  void give(Kind kind, std::uint64_t cookie, std::uint64_t id, Code code, std::string_view fields,
+            std::string_view body);
+  Wire* pick(std::uint64_t id);
+  std::uint64_t fresh_id();
+  void on_frame(Wire& wire, const Frame& frame);
+  void end(std::uint64_t cookie, Kind kind, Outcome outcome, const std::string& why);
+  void drop(Wire& wire, Outcome for_the_rest, const std::string& why,
+            std::optional<std::uint64_t> spoilt = {});
+  void give_up(const Key& key, bool unanswered);
+  LoadReport report_of(std::string_view fields) const;
+  void later(std::function<void()> what);
+
+  io::Host& host_;
+  WorkerId worker_;
+  io::Address address_;
+  const LinkOptions& options_;
+  Budget& budget_;
+  worker::LinkEvents& events_;
+  std::vector<std::unique_ptr<Wire>> wires_;
+  io::Graveyard<Wire> dead_;
+  std::map<Key, Asked> asked_;
+  std::vector<std::function<void()>> later_;
+  std::unique_ptr<io::Timer> later_timer_;
+  std::string scratch_;
+};
+
+}  // namespace laureltide::platform
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -27,13 +27,23 @@
       const std::size_t equals = line.find('=');
       if (equals == std::string_view::npos)
         throw Malformed("settings line " + std::to_string(line_number) + ": no '='");
-      values_.insert_or_assign(std::string(line.substr(0, equals)), std::string(line.substr(equals + 1)));
+      values_.insert_or_assign(std::string(line.substr(0, equals)),
+                               Value{std::string(line.substr(equals + 1))});
     }
   }
 
   std::string_view word(const std::string& key, std::string_view otherwise = {}) const {
     const auto it = values_.find(key);
-    return it == values_.end() ? otherwise : std::string_view(it->second);
+    if (it == values_.end()) return otherwise;
+    it->second.read = true;
+    return it->second.text;
+  }
+
+  std::vector<std::string> unread() const {
+    std::vector<std::string> keys;
+    for (const auto& [key, value] : values_)
+      if (!value.read) keys.push_back(key);
+    return keys;
   }
 
   double number(const std::string& key, double otherwise) const {
@@ -90,7 +100,11 @@
   }
 
  private:
-  std::map<std::string, std::string> values_;
+  struct Value {
+    std::string text;
+    mutable bool read = false;
+  };
+  std::map<std::string, Value> values_;
 };
 
 template <typename Value>
@@ -189,6 +203,7 @@
   s.me = static_cast<std::uint32_t>(pairs.whole("me", 0));
   s.replicas = static_cast<std::uint32_t>(pairs.whole("replicas_of_me", 1));
   for (std::string_view word : pairs.list("stats.columns")) launch.columns.push_back(column_of(word, pairs));
+  launch.unread = pairs.unread();
   return launch;
 }
 
--- a/src/wire/settings.h
+++ b/src/wire/settings.h
@@ -25,6 +25,7 @@
 struct LaunchSettings {
   Settings settings;
   std::vector<ReportColumn> columns;
+  std::vector<std::string> unread;  // keys that were given and mean nothing here
 };
 
 // Throws Malformed for what cannot be used; unknown keys are ignored and absent optional ones keep
--- a/src/worker/link.h
+++ b/src/worker/link.h
@@ -11,8 +11,7 @@
 #include <memory>
 
 #include "base/io.h"
-#include "laureltide/dispatcher.h"
-#include "worker/protocol.h"
+#include "worker/port.h"
 
 namespace laureltide::worker {
 
@@ -26,43 +25,24 @@
   std::uint32_t max_frame = kDefaultMaxFrame;
 };
 
-// `cookie` is the caller's own word for what it gave.
-class LinkEvents {
- public:
-  virtual ~LinkEvents() = default;
-  struct CallEnd {
-    Outcome outcome = Outcome::kOk;
-    Found found = Found::kUntold;
-    std::optional<int> company;
-    LoadReport report;
-    std::string reason, body;
-  };
-  virtual void on_call_end(WorkerId worker, std::uint64_t cookie, CallEnd end) = 0;
-  virtual void on_piece(WorkerId worker, std::uint64_t cookie, std::string body) = 0;
-  virtual void on_hold_end(WorkerId worker, std::uint64_t cookie, Outcome outcome, int instances) = 0;
-  virtual void on_probe_end(WorkerId worker, std::uint64_t cookie, Outcome outcome, LoadReport report) = 0;
-  // Something the worker did that the protocol does not allow, or an answer that nobody waits for.
-  virtual void on_oddity(WorkerId worker, const std::string& what) = 0;
-};
-
-class Link : public io::ConnectionEvents {
+class Link : public Port, public io::ConnectionEvents {
  public:
   Link(io::Host& host, WorkerId worker, io::Address address, LinkOptions options, LinkEvents& events);
   ~Link() override;
 
-  // `call.id` is set by the link. The body is read at once, or kept only until the connection stands.
-  void call(Call call, std::string_view body, std::uint64_t cookie);
-  void cancel(std::uint64_t cookie);  // the end still comes
-  // The caller waits no longer: no end comes, a later answer is passed over.
-  void forget_call(std::uint64_t cookie);
-  void forget_hold(std::uint64_t cookie);
-  void hold(const std::string& function, int instances, std::uint64_t cookie);
-  void release(const std::string& function);
-  void probe(std::uint64_t cookie);
-
-  const io::Address& address() const { return address_; }
+  // ---- Port ----
+  void call(Call call, std::string_view body, std::uint64_t cookie) override;
+  void cancel(std::uint64_t cookie) override;
+  void forget_call(std::uint64_t cookie) override;
+  void forget_hold(std::uint64_t cookie) override;
+  void hold(const std::string& function, int instances, std::uint64_t cookie) override;
+  void release(const std::string& function) override;
+  void probe(std::uint64_t cookie) override;
+  const io::Address& address() const override { return address_; }
+  bool idle() const override {
+    return calls_.empty() && waiting_.empty() && holds_.empty() && probes_.empty();
+  }
   std::size_t out() const { return calls_.size() + waiting_.size(); }
-  bool idle() const { return calls_.empty() && waiting_.empty() && holds_.empty() && probes_.empty(); }
 
   // ---- io::ConnectionEvents ----
   void on_open() override;
--- /dev/null
+++ b/src/worker/port.h
@@ -0,0 +1,56 @@
+// What the controller needs of its end towards one worker, whatever protocol is spoken there.
+//
+// A port reports for everything given to it exactly one end, never from within the call that gave it, and
+// tells apart what is proven never to have run from what may have run (LinkEvents). Two stand behind it:
+// worker::Link (LTWP) and platform::Link (the platform's binary frames).
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/io.h"
+#include "laureltide/dispatcher.h"
+#include "worker/protocol.h"
+
+namespace laureltide::worker {
+
+// `cookie` is the caller's own word for what it gave.
+class LinkEvents {
+ public:
+  virtual ~LinkEvents() = default;
+  struct CallEnd {
+    Outcome outcome = Outcome::kOk;
+    Found found = Found::kUntold;
+    std::optional<int> company;
+    LoadReport report;
+    std::string reason, body;
+  };
+  virtual void on_call_end(WorkerId worker, std::uint64_t cookie, CallEnd end) = 0;
+  virtual void on_piece(WorkerId worker, std::uint64_t cookie, std::string body) = 0;
+  virtual void on_hold_end(WorkerId worker, std::uint64_t cookie, Outcome outcome, int instances) = 0;
+  virtual void on_probe_end(WorkerId worker, std::uint64_t cookie, Outcome outcome, LoadReport report) = 0;
+  // Something the worker did that the protocol does not allow, or an answer that nobody waits for.
+  virtual void on_oddity(WorkerId worker, const std::string& what) = 0;
+};
+
+class Port {
+ public:
+  virtual ~Port() = default;
+
+  // `call.id` is set by the port. The body is read at once, or kept only until the connection stands.
+  virtual void call(Call call, std::string_view body, std::uint64_t cookie) = 0;
+  virtual void cancel(std::uint64_t cookie) = 0;  // the end still comes
+  // The caller waits no longer: no end comes, a later answer is passed over.
+  virtual void forget_call(std::uint64_t cookie) = 0;
+  virtual void forget_hold(std::uint64_t cookie) = 0;  // or a probe
+  virtual void hold(const std::string& function, int instances, std::uint64_t cookie) = 0;
+  virtual void release(const std::string& function) = 0;
+  virtual void probe(std::uint64_t cookie) = 0;
+
+  virtual const io::Address& address() const = 0;
+  virtual bool idle() const = 0;  // nothing is out and nothing waits
+};
+
+}  // namespace laureltide::worker
--- a/src/worker/protocol.h
+++ b/src/worker/protocol.h
@@ -71,6 +71,7 @@
   std::uint8_t attempt = 0;                 // of this call by this controller
   std::string function, name, key, tenant;  // key empty: not keyed
   std::string body;
+  std::string request_class = {};  // not said in LTWP, whose workers know it from the function
 };
 struct Cancel {
   std::uint64_t id = 0;
