What is written first leaves first; an id that just ended is no call

A call given up at one invoker was sent to another 40 us later; both writes sat in the loop's buffers and one epoll round could put them out in any order (net/loop.cpp, Stream::write and ~Stream, which leave the socket to later turns). And bad clients sent one id hundreds of times, each cancelled at once: every one reached a link, as only open ids were refused (node.cpp). Ruled out: answers under a wrong id, two attempts of one call at one invoker (none in the trace). Change: bytes go to the kernel at once where nothing waits before them; a stream that goes is shut down at once; ids are known for 5 s behind their call, at most 16,384.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -107,7 +107,11 @@
     bufferevent_set_max_single_write(stream_.get(), 256U << 10);
     if (fd >= 0) opened(fd);
   }
-  ~Stream() override { *alive_ = false; }
+  ~Stream() override {
+    *alive_ = false;
+    // The library closes a descriptor some turns of the loop later; the peer is told now.
+    if (stream_ && open_) shutdown(bufferevent_getfd(stream_.get()), SHUT_RDWR);
+  }
 
   void serve(io::ConnectionEvents* events) { events_ = events; }
   void accepted(event_base* base) {
@@ -129,6 +133,14 @@
 
   void write(std::string_view bytes) override {
     if (over_) return;
+    // Straight to the kernel where nothing waits before it: what is written first on one connection leaves
+    // before what is written next on another. Left to the loop, a call's second attempt could overtake the
+    // word that gives up the first.
+    if (open_ && unsent() == 0) {
+      const ssize_t sent = send(bufferevent_getfd(stream_.get()), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+      if (sent > 0) bytes.remove_prefix(static_cast<std::size_t>(sent));
+      if (bytes.empty()) return;  // an error shows when the rest is written
+    }
     bufferevent_write(stream_.get(), bytes.data(), bytes.size());
     above_ |= unsent() > kLowMark;
   }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -10,6 +10,8 @@
 
 constexpr int kStatsEvery = 10;                                   // seconds
 constexpr Duration kComeWithin = std::chrono::milliseconds(700);  // after SIGTERM, clients may still come
+constexpr Duration kEndedFor = std::chrono::seconds(5);           // ids are remembered behind their call
+constexpr std::size_t kMostEnded = 16'384;
 constexpr Duration kLookEvery = std::chrono::milliseconds(10);
 constexpr std::size_t kMostOddities = 64;  // kinds told apart
 // Of the descriptors: what the process itself, the feed, the listener and the log hold, and what is accepted
@@ -156,7 +158,8 @@
   using Kind = front::Reply::Kind;
   Read read = read_call(fields, std::move(body), *settings_);
   if (!read.call) return turn_away(ticket, Kind::kException, std::move(read.why));
-  if (ids_.contains(read.id)) return turn_away(ticket, Kind::kException, "call: an id that is open");
+  if (ids_.contains(read.id) || ended_ids_.contains(read.id))
+    return turn_away(ticket, Kind::kException, "call: an id that is open or was so just now");
   const bool closed = drained_ && host_.now() >= closes_at_;
   const std::size_t bytes = read.call->body.size();
   if (closed || held_bytes_ + bytes > most_held_bytes_) return turn_away(ticket, Kind::kRefused, {});
@@ -191,10 +194,20 @@
   const auto it = tickets_.find(ticket);
   if (it == tickets_.end()) return;
   ids_.erase(it->second.id);
+  ended_.emplace_back(host_.now(), it->second.id);
+  ended_ids_.insert(it->second.id);
+  forget_ended(host_.now() - kEndedFor, kMostEnded);
   held_bytes_ -= it->second.bytes;
   tickets_.erase(it);
 }
 
+void Node::forget_ended(Time before, std::size_t most) {
+  while (!ended_.empty() && (ended_.front().first < before || ended_.size() > most)) {
+    ended_ids_.erase(ended_.front().second);
+    ended_.pop_front();
+  }
+}
+
 // ---- The end ------------------------------------------------------------------------------------------
 
 void Node::drain(std::function<void()> done) {
@@ -232,6 +245,7 @@
   second_due_ = now + std::chrono::seconds(1);
   second_->start(std::chrono::seconds(1));
   core_.tidy();
+  forget_ended(now - kEndedFor, kMostEnded);
   if (++seconds_ % kStatsEvery == 0) say_stats();
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -7,9 +7,11 @@
 // and to invokers (docs/node.md).
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "controller/core.h"
 #include "front/server.h"
@@ -38,7 +40,7 @@
   const platform::Follower& feed() const { return *feed_; }
   io::Address address() const { return front_.address(); }
   std::size_t clients() const { return front_.connections(); }
-  std::size_t ids() const { return tickets_.size(); }
+  std::size_t ids() const { return tickets_.size() + ended_.size(); }
   std::size_t held_bytes() const { return held_bytes_; }
 
   // ---- front::Server::Events ----
@@ -62,6 +64,7 @@
   void take_known(const std::vector<Known>& known);
   void turn_away(front::Server::Ticket ticket, front::Reply::Kind kind, std::string why);
   void close(front::Server::Ticket ticket);
+  void forget_ended(Time before, std::size_t most);
   void odd(const std::string& what);
   void second();
   void say_stats();
@@ -79,6 +82,10 @@
   std::unique_ptr<platform::Follower> feed_;
   std::unordered_map<front::Server::Ticket, Open> tickets_;
   std::unordered_map<std::uint64_t, front::Server::Ticket> ids_;  // of open calls
+  // Of calls that ended not long ago: an id is new with every request, so one that comes again is no call,
+  // and its second frame could meet the first one's attempt at an invoker.
+  std::deque<std::pair<Time, std::uint64_t>> ended_;
+  std::unordered_set<std::uint64_t> ended_ids_;
   std::size_t held_bytes_ = 0, most_held_bytes_ = 0;
   std::unique_ptr<io::Timer> second_, drain_look_;
   Time second_due_{}, closes_at_{};
