Workers that err come last, and no request waits where it may not go again

A call that met one was refused 190 ms later without another attempt. Ruled out: the sockets (each code is told as it came), reload and restarts (the same before the first HUP), full workers. Lines at fault, decide.cpp: returned() takes an error for no sign of anything, so what errs, being fast, always has room; choose() counts a warm copy as a place to wait for even where this request may have run and may not go again. Change: errors and answers of the last seconds are counted for each worker; over a share of 0.3 others come first, and the plan takes the share off its pace. It fades with what it rests on, so the worker is tried again. A request waits only for places that it may go to.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -50,6 +50,8 @@
 constexpr double kRunRecent = 0.05;        // least weight of a new sample in mean run times
 constexpr double kUsualCounts = 3;         // samples for which the class's mean counts in a function's
 constexpr double kSlow = 2.5;              // answer time over the usual, from which others come first
+constexpr double kErring = 0.3;            // share of errors in answers, from which others come first
+constexpr double kErrorsDoubted = 3;       // answers that a share of errors is not yet believed from
 constexpr double kColdLimit = 0.6;         // part of the fall multiple ever used: others are unseen
 constexpr double kColdLimitOfMany = 0.4;   // single calls of many come together by chance
 constexpr double kLateAt = 0.5;            // share of the aim after which an answer tells of a queue
@@ -159,7 +161,9 @@
   std::optional<Time> cold_since;
   double credit = 0;  // run time that may be sent while cold
   Time credit_at{};
-  double slowness = 1;  // answer time over what the function usually takes
+  double slowness = 1;          // answer time over what the function usually takes
+  double erred = 0, ended = 0;  // errors, and all answers, of the last few seconds
+  Time ended_at{};
   Time full_until{};
   Time cut_at{};
   double limit = 1e9;  // own calls in flight that it bears without a queue, learnt from answers
@@ -275,8 +279,21 @@
     return age >= 1 ? 1 : settings.rules.cold_from + (1 - settings.rules.cold_from) * std::max(age, 0.0);
   }
 
-  // Its part of the plan: what is cold or slow has full lanes on paper only.
-  double pace(const Worker& w) const { return warmth(w) / std::max(1.0, w.slowness); }
+  // Share of errors in its answers. It fades with what it rests on, so that the worker is tried again.
+  double errors(const Worker& w) const {
+    const double left = std::exp(-seconds(now - w.ended_at) / seconds(kDemandMemory));
+    return w.erred * left / (w.ended * left + kErrorsDoubted);
+  }
+  // What errs answers fast, so it always has room: a call that may not be repeated is lost there.
+  bool erring(const Worker& w) const { return errors(w) > kErring; }
+  void count_answer(Worker& w, bool error) {
+    const double left = std::exp(-seconds(now - w.ended_at) / seconds(kDemandMemory));
+    w.erred = w.erred * left + error, w.ended = w.ended * left + 1;
+    w.ended_at = now;
+  }
+
+  // Its part of the plan: what is cold, slow or errs has full lanes on paper only.
+  double pace(const Worker& w) const { return warmth(w) / std::max(1.0, w.slowness) * (1 - errors(w)); }
 
   // ---- Demand -----------------------------------------------------------------------------------
 
@@ -558,40 +575,49 @@
   bool rested(const Open& o, WorkerId id, const Worker& worker, const Function& f) const {
     const auto p = f.pairs.find(id);
     if (worker.full_until > now || (p != f.pairs.end() && p->second.full_until > now)) return false;
-    if (worker.in_flight >= worker.limit) return false;
-    return std::none_of(o.attempts.begin(), o.attempts.end(),
-                        [&](const Attempt& a) { return a.worker == id && a.fate != Fate::kNeverRan; });
+    return worker.in_flight < worker.limit && !been_at(o, id);
+  }
+
+  // It may have run there: another attempt goes elsewhere.
+  static bool been_at(const Open& o, WorkerId id) {
+    return std::any_of(o.attempts.begin(), o.attempts.end(),
+                       [&](const Attempt& a) { return a.worker == id && a.fate != Fate::kNeverRan; });
   }
 
   std::optional<WorkerId> choose(const Open& o, Function& f, bool suspects_too) {
     std::vector<WorkerId> calm, roomy;  // warm with a free lane; the slow ones apart
     std::optional<WorkerId> target, hashed;
-    int target_load = 0;
+    std::pair<bool, int> target_load;  // erring or not, then by load
+    std::pair<bool, std::uint64_t> hashed_rank;
     for (auto& [id, worker] : workers) {
       if (!ready(worker) || (worker.suspect && !suspects_too) || !rested(o, id, worker, f)) continue;
       if (!may_send(o, worker)) continue;
       const auto it = f.pairs.find(id);
       Pair* pair = it == f.pairs.end() ? nullptr : &it->second;
+      const bool errs = erring(worker);
       if (pair && believed_warm(*pair) && pair->in_flight < pair->copies * f.lanes)
-        (worker.slowness < kSlow ? calm : roomy).push_back(id);
+        (worker.slowness < kSlow && !errs ? calm : roomy).push_back(id);
       const bool waits =
           settings.instances.on_miss == MissMode::kMiss && pair && !believed_warm(*pair) && loading(*pair);
       if (pair && (pair->target > 0 || believed_warm(*pair)) && !waits &&
-          (!target || pair->in_flight < target_load))
-        target = id, target_load = pair->in_flight;
-      if (!waits && (!hashed || affinity(f.id, id) > affinity(f.id, *hashed))) hashed = id;
+          (!target || std::pair(errs, pair->in_flight) < target_load))
+        target = id, target_load = {errs, pair->in_flight};
+      if (!waits && (!hashed || std::pair(!errs, affinity(f.id, id)) > hashed_rank))
+        hashed = id, hashed_rank = {!errs, affinity(f.id, id)};
     }
     if (!calm.empty()) return calm[random.below(calm.size())];
     if (!roomy.empty()) return roomy[random.below(roomy.size())];
     if (target) return target;
     // With a place that soon has it, or with the whole fleet short, the request waits here for room: one more
-    // load elsewhere would add to the jam that it flees from. So it does where it would only find a miss.
+    // load elsewhere would add to the jam that it flees from. So it does where it would only find a miss. But
+    // never for a place that this request may not go to again.
     const bool stay = settings.instances.on_miss == MissMode::kMiss || crowd <= kMany || fleet_is_short();
     const bool placed = std::any_of(f.pairs.begin(), f.pairs.end(), [&](auto& p) {
       const Worker& worker = workers[p.first];
       const bool coming =
           loading(p.second) || (p.second.in_flight > 0 && settings.instances.on_miss == MissMode::kLoad);
-      return ready(worker) && !worker.suspect && (coming || (stay && believed_warm(p.second)));
+      return ready(worker) && !worker.suspect && !been_at(o, p.first) &&
+             (coming || (stay && believed_warm(p.second)));
     });
     if (placed) return std::nullopt;
     return hashed;
@@ -682,6 +708,8 @@
     if (r.outcome == Outcome::kOk || r.outcome == Outcome::kError || r.outcome == Outcome::kFull ||
         r.outcome == Outcome::kMiss)
       worker.heard = now, trust(a.worker, false);
+    if (r.outcome == Outcome::kOk || (r.outcome == Outcome::kError && !load_failed))
+      count_answer(worker, r.outcome == Outcome::kError);
     switch (r.outcome) {
       case Outcome::kOk: served(f, pair, worker, a, r); break;
       // A refusal may be meant for one function, class or tenant only, though there is room for others.
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -338,6 +338,56 @@
   EXPECT_EQ(b.all(Did::kRefuse).size(), refused);  // and it recovers
 }
 
+// What errs answers at once, so it always has room. Calls that may not be repeated must not all end there.
+TEST(Failure, AWorkerThatErrsComesLastAndIsTriedAgain) {
+  Bench b;
+  b.list(fleet(4));
+  traffic(b, 4s, 8ms, 100ms);  // several copies
+  std::map<WorkerId, int> sends;
+  for (const Action& a : b.all(Did::kSend)) ++sends[a.worker];
+  ASSERT_GE(sends.size(), 2U);
+  const WorkerId bad = sends.begin()->first;
+  const auto share_of_bad = [&](bool errs) {
+    std::vector<Action> out;
+    std::size_t seen = b.actions.size();
+    double at_bad = 0, all = 0;
+    const Time begin = b.now;
+    while (b.now < begin + 8s) {
+      if (b.now < begin + 7s) b.ask(kOnce, 1);
+      for (; seen < b.actions.size(); ++seen) {
+        const Action a = b.actions[seen];
+        if (a.did == Did::kHold) b.held(a, Outcome::kOk, a.count);
+        if (a.did != Did::kSend) continue;
+        if (b.now > begin + 3s) ++all, at_bad += a.worker == bad;
+        errs&& a.worker == bad ? b.answer(a, Outcome::kError) : out.push_back(a);
+      }
+      b.advance(8ms);
+      std::erase_if(out, [&](const Action& a) { return b.now - a.at >= 100ms && (b.serve(a), true); });
+    }
+    return at_bad / all;
+  };
+  EXPECT_LT(share_of_bad(true), 0.1);
+  b.advance(20s);  // nothing was heard of it for long
+  EXPECT_GT(share_of_bad(false), 0.1);
+}
+
+// Its only warm copy stands where it may have run: it goes elsewhere, and does not wait there until it is
+// refused.
+TEST(Failure, NoRequestWaitsForAPlaceThatItMayNotGoToAgain) {
+  Settings settings = plain_settings();
+  settings.instances.on_miss = MissMode::kMiss;
+  Bench b(settings);
+  b.list(fleet(4));
+  traffic(b, 3s, 400ms);
+  const RequestId id = b.ask();
+  ASSERT_EQ(b.sends_of(id).size(), 1U);
+  b.advance(8ms);
+  b.answer(b.sends_of(id)[0], Outcome::kError);
+  b.advance(8ms);
+  ASSERT_EQ(b.sends_of(id).size(), 2U);
+  EXPECT_NE(b.sends_of(id)[1].worker, b.sends_of(id)[0].worker);
+}
+
 // A broken connection is no restart: asked for a copy that should stand, the worker says that it does.
 TEST(Failure, ABrokenConnectionVoidsNothingWhileTheCopyStands) {
   for (const int standing : {1, 0}) {
