Refusals say when to come back; copies are held from two calls in a keep-alive on

Need: a refusal goes at once and says when to come back, where settings allow. The module never said it. Lines: decide.cpp settle() and kCallsToHold.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -34,7 +34,7 @@
 constexpr double kDoubt = 10;              // calls that a new life counts as not yet seen
 constexpr std::size_t kPeersTold = 4;      // a replan, at random: linear in their number
 constexpr int kReplansToDrop = 4;          // "several" unpaired replans before an own copy is dropped
-constexpr double kCallsToHold = 0.5;       // calls in a keep-alive below which idling out is cheaper
+constexpr double kCallsToHold = 2;         // calls in a keep-alive below which idling out is cheaper
 constexpr double kRenewAt = 0.6;           // share of the keep-alive after which a hold is renewed
 constexpr double kPlannedRation = 0.7;     // share of the order ration that planned orders may use
 constexpr Duration kOrderLost = 4s;        // an order unanswered for so long no longer holds others back
@@ -58,6 +58,7 @@
 constexpr double kCutLate = 0.9;           // a late answer's cut of the limit: some are late by nature
 constexpr Duration kCutEvery = 100ms;      // one cut for answers that tell of the same queue
 constexpr double kWaitShare = 0.4;         // share of the aim for which a request waits here for room
+constexpr double kBackAfter = 0.1;         // share of the aim after which a refused client may come again
 constexpr double kShareBurst = 1.0;        // seconds of its share that a tenant may ask at once
 constexpr double kUnheardPart = 0.8;       // share of own traffic that is surely within shares, unheard
 constexpr Duration kPeerStands = 7s;       // some replans: a peer that stays silent has died
@@ -930,11 +931,18 @@
     return c.semantics == Semantics::kRepeatable || everywhere || never_ran(o);
   }
 
+  // When to come back: a short part of the aim, in which some room comes free. Longer, and an answer that
+  // could still be in time is not.
+  Duration advice(const Open& o) const {
+    const Duration some = from_seconds(kBackAfter * seconds(class_of(o.request).target));
+    return settings.bounds.retry_after ? std::min(some, settings.bounds.max_retry_after) : 0ns;
+  }
+
   // Rule 1. The only place that gives a final answer: a refusal where that is true, a failure otherwise.
   void settle(Open& o) {
     if (std::exchange(o.answered, true)) return;
     if (may_refuse(o))
-      sink.refuse(o.request.id, 0ns);
+      sink.refuse(o.request.id, advice(o));
     else
       sink.fail(o.request.id);
     cancel_rest(o);
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -137,7 +137,10 @@
   // ---- ActionSink
   void send(RequestId r, WorkerId w, Duration) override { actions.push_back({Did::kSend, now, r, w, {}, 0}); }
   void cancel(RequestId r, AttemptNumber n) override { actions.push_back({Did::kCancel, now, r, {}, {}, n}); }
-  void refuse(RequestId r, Duration) override { actions.push_back({Did::kRefuse, now, r, {}, {}, 0}); }
+  void refuse(RequestId r, Duration retry_after) override {
+    actions.push_back({Did::kRefuse, now, r, {}, {}, 0});
+    advice.push_back(retry_after);
+  }
   void fail(RequestId r) override { actions.push_back({Did::kFail, now, r, {}, {}, 0}); }
   void hold(WorkerId w, FunctionId f, int n) override { actions.push_back({Did::kHold, now, {}, w, f, n}); }
   void release(WorkerId w, FunctionId f) override { actions.push_back({Did::kRelease, now, {}, w, f, 0}); }
@@ -155,6 +158,7 @@
   Time now;
   std::vector<Action> actions;
   std::vector<std::string> lines;
+  std::vector<Duration> advice;  // of each refusal
   std::vector<std::pair<Time, TimerToken>> timers;
   std::uint64_t version = 0;
   std::uint32_t last_request = 0;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -388,6 +388,22 @@
   EXPECT_NE(b.sends_of(id)[1].worker, b.sends_of(id)[0].worker);
 }
 
+// The refusal itself goes at once; when to come back is said where the settings allow, within their longest.
+TEST(Failure, ARefusalSaysWhenToComeBackWhereSettingsAllow) {
+  for (const auto& [allowed, longest, said] :
+       {std::tuple(false, Duration(1s), Duration(0)), std::tuple(true, Duration(1s), Duration(100ms)),
+        std::tuple(true, Duration(30ms), Duration(30ms))}) {
+    Settings settings = plain_settings();
+    settings.bounds.retry_after = allowed, settings.bounds.max_retry_after = longest;
+    Bench b(settings);
+    b.list({});
+    b.ask();
+    b.advance(1s);
+    ASSERT_EQ(b.advice.size(), 1U);
+    EXPECT_EQ(b.advice[0], said);
+  }
+}
+
 // A broken connection is no restart: asked for a copy that should stand, the worker says that it does.
 TEST(Failure, ABrokenConnectionVoidsNothingWhileTheCopyStands) {
   for (const int standing : {1, 0}) {
