A connection that ends alone is no invoker's death; links learn how long connections may rest

Checked: traces of every connection's end with its age, rest and what was out; counts of how attempts ended. - Invokers ended connections 420 to 480 ms after their last answer; a frame on one that had rested 150 ms or more met a reset in 18 to 30% of cases, under 1% after none. Each reset made the module suspect the invoker, cancel what was out there, ask it for a sign of life (often reset as well, then 1 s of silence), and take any answer about a function that was not believed to stand for a restart: all copies forgotten, 18 s of a cold worker's budget, which falls with what is served. So the fleet starved itself. Ruled out: dead processes (dials came up at once), full invokers, late loops. Lines at fault: decide.cpp hold_answered() and ask(); platform/link.cpp, which told each lone reset as the invoker's, and took the newest connection, not the one used last. Change: only a copy that should stand and is gone tells of a restart, and the copy asked for is the one last seen; an order that a break took voids nothing. A connection that ends alone while others stand 5 ms later is told as error, an order on it as unanswered. A link learns half the rest after which a connection was found ended, which doubles again in 30 s; the connection used last is taken first.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -558,13 +558,14 @@
     Function& f = fit->second;
     Pair& pair = f.pairs[result.worker];
     pair.ordered = 0;
-    if (result.outcome == Outcome::kConnectFailed || result.outcome == Outcome::kReset) {
-      pair.copies = 0;
+    // What stands there is not known by it: the worker is asked.
+    if (result.outcome == Outcome::kConnectFailed || result.outcome == Outcome::kReset)
       return suspect(result.worker, "order not delivered");
-    }
     if (result.outcome == Outcome::kTimeout) return;
     w->second.heard = now;
-    trust(result.worker, !(believed_warm(pair) && result.instances > 0));
+    // Only a copy that should stand and is gone tells of a restart. Of another function the answer tells
+    // nothing.
+    trust(result.worker, believed_warm(pair) && result.instances <= 0);
     pair.copies = std::max(0, result.instances);
     if (pair.copies > 0) pair.seen = now, pair.placed = true;
     if (result.outcome == Outcome::kFull) pair.full_until = now + jittered(kNoMemoryRest);
@@ -850,9 +851,12 @@
   void ask(WorkerId id, Worker& worker) {
     worker.asked = now;
     std::optional<FunctionId> about;
+    Time latest{};  // the copy last seen is the least likely to have been pushed out
     for (auto& [fid, f] : functions) {
       const auto p = f.pairs.find(id);
-      if (!about || (p != f.pairs.end() && believed_warm(p->second) && !p->second.ordered)) about = fid;
+      const bool stands = p != f.pairs.end() && believed_warm(p->second) && !p->second.ordered;
+      if (!about || (stands && p->second.seen > latest)) about = fid;
+      if (stands) latest = std::max(latest, p->second.seen);
     }
     if (settings.instances.orders && about)
       sink.hold(id, *about, 0);
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -35,7 +35,12 @@
     put(frame);
     if (!asked_at) asked_at = link_.host_.now();
   }
-  void put(std::string_view frame) { connection_->write(frame); }
+  void put(std::string_view frame) {
+    const Time now = link_.host_.now();
+    rested = now - used_at;
+    used_at = now;
+    connection_->write(frame);
+  }
   void rest() {  // nothing is out any more
     if (open && out.empty()) timer_->start(link_.options_.idle);
   }
@@ -44,6 +49,8 @@
 
   std::map<std::uint64_t, Key> out;
   bool open = false;
+  Time used_at{};                // last byte either way
+  Duration rested{};             // idle before the last frame
   bool retired = false;          // gets nothing new, and ends with what is out
   std::optional<Time> asked_at;  // of the first frame since the last byte came
   std::size_t unknown = 0;
@@ -52,6 +59,7 @@
   // ---- io::ConnectionEvents ----
   void on_open() override {
     open = true;
+    used_at = link_.host_.now();
     timer_->stop();
     for (const auto& [id, frame] : std::exchange(waiting, {})) connection_->write(frame);
     if (!out.empty()) asked_at = link_.host_.now();
@@ -59,6 +67,7 @@
   }
   std::size_t on_bytes(std::string_view bytes) override {
     asked_at.reset();
+    used_at = link_.host_.now();
     std::size_t used = 0;
     while (connection_) {
       const ParseResult r = parse(bytes.substr(used), kFromInvoker);
@@ -74,9 +83,15 @@
     return used;
   }
   void on_closed(io::Closed why) override {
-    const bool never = !open;
-    link_.drop(*this, never ? Outcome::kConnectFailed : Outcome::kReset,
-               why == io::Closed::kByPeer ? "the invoker closed the connection" : "the connection broke");
+    if (!open) return link_.drop(*this, Outcome::kConnectFailed, "no connection");
+    // Found ended while it rested, or by the very frame that ended its rest.
+    const Duration since = link_.host_.now() - used_at;
+    if (out.empty())
+      link_.learn_rest(since);
+    else if (why == io::Closed::kBroken && since < link_.options_.verdict)
+      link_.learn_rest(rested);
+    link_.broke(*this,
+                why == io::Closed::kByPeer ? "the invoker closed the connection" : "the connection broke");
   }
 
  private:
@@ -94,6 +109,8 @@
 
 constexpr std::size_t kReadAhead = kHeadBytes + kMostFields + kMostBody + kCheckBytes + (16U << 10);
 
+constexpr double kRestDoubles = 30;  // seconds in which what was learnt of a rest is trusted twice as far
+
 std::optional<float> number(std::string_view text) {
   float value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -120,6 +137,7 @@
       budget_(budget),
       events_(events),
       dead_(host),
+      verdict_(host.timer([this] { judge_broken(); })),
       later_timer_(host.timer([this] {
         const auto due = std::exchange(later_, {});
         for (const auto& what : due) what();
@@ -173,17 +191,19 @@
   Wire* idle = nullptr;
   Wire* least = nullptr;
   Wire* oldest_bad = nullptr;
+  const Time now = host_.now();
   for (const auto& wire : wires_) {
-    const bool bad = wire->retired || wire->quiet();
+    const bool bad = wire->retired || wire->quiet() || (wire->open && now - wire->used_at > rest());
     if (bad && (!oldest_bad || wire->out.size() < oldest_bad->out.size())) oldest_bad = wire.get();
     if (bad || wire->out.size() >= options_.streams || wire->out.contains(id)) continue;
-    if (wire->out.empty() && wire->open) idle = wire.get();  // the newest: the oldest may idle out
+    // The one used last: the others may idle out.
+    if (wire->out.empty() && wire->open && (!idle || wire->used_at > idle->used_at)) idle = wire.get();
     if (!least || wire->out.size() < least->out.size()) least = wire.get();
   }
   if (idle) return idle;
   const std::size_t most = budget_.most + (least ? 0 : budget_.at_least);
-  if (!least && wires_.size() >= options_.most_own && oldest_bad && oldest_bad->out.empty())
-    drop(*oldest_bad, Outcome::kReset, "");
+  const bool full = wires_.size() >= options_.most_own || budget_.open >= most;
+  if (full && oldest_bad && oldest_bad->out.empty()) drop(*oldest_bad, Outcome::kReset, "");
   if (wires_.size() < options_.most_own && budget_.open < most) {
     wires_.push_back(std::make_unique<Wire>(*this, kReadAhead));
     return wires_.back().get();
@@ -345,6 +365,64 @@
   dead_.bury(std::move(owned));
 }
 
+// The connection ended with no word. What was out on it may have run; whether the invoker died shows by its
+// other connections, a moment later.
+void Link::broke(Wire& wire, const std::string& why) {
+  const auto it = std::find_if(wires_.begin(), wires_.end(), [&](auto& w) { return w.get() == &wire; });
+  if (it == wires_.end()) return;
+  Broken broken{host_.now(), {}, {}, why};
+  for (const auto& w : wires_)
+    if (w.get() != &wire && w->open) broken.others.push_back(w.get());
+  if (broken.others.empty() || wire.out.empty()) return drop(wire, Outcome::kReset, why);
+  for (const auto& [id, key] : std::exchange(wire.out, {})) {
+    const auto asked = asked_.find(key);
+    if (asked == asked_.end()) continue;
+    asked->second.wire = nullptr;
+    broken.keys.push_back(key);
+  }
+  drop(wire, Outcome::kReset, why);
+  broken_.push_back(std::move(broken));
+  if (broken_.size() == 1) verdict_->start(options_.verdict);
+}
+
+void Link::judge_broken() {
+  const Time now = host_.now();
+  auto all = std::exchange(broken_, {});
+  for (Broken& broken : all) {
+    if (now - broken.at < options_.verdict) {
+      broken_.push_back(std::move(broken));
+      continue;
+    }
+    const bool alive = std::any_of(wires_.begin(), wires_.end(), [&](const auto& w) {
+      return std::find(broken.others.begin(), broken.others.end(), w.get()) != broken.others.end();
+    });
+    for (const Key& key : broken.keys) {
+      const auto asked = asked_.find(key);
+      if (asked == asked_.end()) continue;
+      const Asked what = asked->second;
+      asked_.erase(asked);
+      // An order or a sign of life that got lost is asked for anew by whoever wanted it.
+      const Outcome alone = what.kind == Kind::kCall ? Outcome::kError : Outcome::kTimeout;
+      end(what.cookie, what.kind, alive ? alone : Outcome::kReset, broken.why);
+    }
+  }
+  if (!broken_.empty()) verdict_->start(options_.verdict - (now - broken_.front().at));
+}
+
+Duration Link::rest() const {
+  if (rest_ == Duration(0)) return options_.idle;
+  const double seconds = std::chrono::duration<double>(host_.now() - rest_learnt_).count();
+  const double grown = std::chrono::duration<double>(rest_).count() * std::exp2(seconds / kRestDoubles);
+  return std::min(options_.idle,
+                  std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(grown, 1e4))));
+}
+
+void Link::learn_rest(Duration rested) {
+  if (rested >= options_.idle || rested / 2 >= rest()) return;
+  rest_ = std::max(options_.least_rest, rested / 2);
+  rest_learnt_ = host_.now();
+}
+
 void Link::end(std::uint64_t cookie, Kind kind, Outcome outcome, const std::string& why) {
   switch (kind) {
     case Kind::kCall: return events_.on_call_end(worker_, cookie, {outcome, {}, {}, {}, why, {}});
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -6,6 +6,13 @@
 // an attempt went unanswered, or that is silent for `quiet` while something is out there. It keeps what is
 // out until that has ended. A dial that never comes up proves that nothing ran.
 //
+// An invoker, or what stands between, may end idle connections long before the settings say, and a call that
+// crosses such an end may have run. So a link learns for how long a connection may rest: half the rest after
+// which one was found ended, and a little more again with each second that none was.
+//
+// A process that dies ends all its connections. One that ends alone, while others to the same invoker stand,
+// is a lost answer (error) and no sign of the invoker's death (reset).
+//
 // Told as never run: a miss, full, "was over", a dial that failed, a call given up before its connection
 // stood. Told as may have run: everything handed to the transport whose answer did not come, or came spoilt.
 //
@@ -34,8 +41,10 @@
 
 struct LinkOptions {
   Duration dial_timeout = std::chrono::milliseconds(250);
-  Duration idle = std::chrono::seconds(20);         // an idle connection goes before the invoker ends it
-  Duration quiet = std::chrono::milliseconds(500);  // silence while something is out, then nothing new
+  Duration idle = std::chrono::seconds(20);             // an idle connection goes before the invoker ends it
+  Duration quiet = std::chrono::milliseconds(500);      // silence while something is out, then nothing new
+  Duration least_rest = std::chrono::milliseconds(20);  // that is ever learnt
+  Duration verdict = std::chrono::milliseconds(5);      // in which a dying process ends its other connections
   std::size_t streams = 32;
   std::size_t most_own = 16;
   std::size_t most_unknown = 64;
@@ -61,6 +70,7 @@
   bool idle() const override { return asked_.empty(); }
 
   std::size_t connections() const { return wires_.size(); }
+  Duration rest() const;  // for which a connection is idle and still trusted
 
  private:
   enum class Kind : std::uint8_t { kCall, kHold, kProbe };
@@ -82,6 +92,8 @@
   void drop(Wire& wire, Outcome for_the_rest, const std::string& why,
             std::optional<std::uint64_t> spoilt = {});
   void give_up(const Key& key, bool unanswered);
+  void broke(Wire& wire, const std::string& why);
+  void learn_rest(Duration rested);
   LoadReport report_of(std::string_view fields) const;
   void later(std::function<void()> what);
 
@@ -94,6 +106,17 @@
   std::vector<std::unique_ptr<Wire>> wires_;
   io::Graveyard<Wire> dead_;
   std::map<Key, Asked> asked_;
+  Duration rest_{};  // as last learnt
+  Time rest_learnt_{};
+  struct Broken {  // what was out on connections that ended just now
+    Time at;
+    std::vector<Key> keys;
+    std::vector<const Wire*> others;  // that stood then
+    std::string why;
+  };
+  std::vector<Broken> broken_;
+  std::unique_ptr<io::Timer> verdict_;
+  void judge_broken();
   std::vector<std::function<void()>> later_;
   std::unique_ptr<io::Timer> later_timer_;
   std::string scratch_;
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -50,6 +50,11 @@
   Session(PlatformInvoker& invoker, std::uint64_t number, std::unique_ptr<io::Connection> c)
       : number(number), connection(std::move(c)), invoker_(invoker) {}
   std::size_t on_bytes(std::string_view bytes) override {
+    const Time now = invoker_.host_.now();
+    const Duration rested = now - std::exchange(used_at, now);
+    if (invoker_.reset_rested_ > Duration(0) && frames > 0 && rested > invoker_.reset_rested_)
+      return connection.reset(), bytes.size();
+    ++frames;
     std::size_t used = 0;
     while (connection && bytes.size() - used >= 20) {
       Reader in(bytes.substr(used));
@@ -75,6 +80,8 @@
   }
   const std::uint64_t number;
   std::unique_ptr<io::Connection> connection;
+  Time used_at{};
+  std::size_t frames = 0;
 
  private:
   PlatformInvoker& invoker_;
@@ -164,6 +171,7 @@
   Spoil how = Spoil::kNone;
   if (code == 97 && !body.empty() && !spoils_.empty()) how = spoils_.front(), spoils_.pop_front();
   io::Connection& out = *session->connection;
+  session->used_at = host_.now();
   std::string bytes = frame(code, id, fields, body);
   switch (how) {
     case Spoil::kNone: return out.write(bytes);
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -51,6 +51,8 @@
     spoils_.insert(spoils_.end(), static_cast<std::size_t>(times), how);
   }
   void answer_all(std::uint8_t code) { only_ = code; }  // 0: as usual
+  // A connection that rested for longer is reset by the next frame on it, which is not read.
+  void reset_rested(Duration after) { reset_rested_ = after; }
   const std::vector<Seen>& calls() const { return calls_; }
   std::size_t orders() const { return orders_; }
   std::size_t probes() const { return probes_; }
@@ -73,6 +75,7 @@
   std::uint64_t next_session_ = 1;
   std::deque<Spoil> spoils_;
   std::uint8_t only_ = 0;
+  Duration reset_rested_{};
   std::map<std::string, int> copies_;
   std::vector<Seen> calls_;
   std::size_t orders_ = 0, probes_ = 0, unloads_ = 0;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -404,6 +404,47 @@
   }
 }
 
+// A reset is no restart: where nothing tells that copies are gone, the worker is neither emptied nor cold
+// again.
+TEST(Failure, AnAnswerAboutAnotherFunctionTellsOfNoRestart) {
+  Bench b;
+  b.list(fleet(1));
+  traffic(b, 4s, 20ms);
+  b.advance(9s);  // longer than the keep-alive: no copy is believed to stand
+  const RequestId id = b.ask();
+  b.answer(b.sends_of(id)[0], Outcome::kReset);
+  b.advance(40ms);
+  const Action asked = b.all(Did::kHold).back();
+  ASSERT_EQ(asked.count, 0);
+  b.held(asked, Outcome::kOk, 0);
+  std::size_t sent = 0;
+  for (int i = 0; i < 20; ++i) {
+    const RequestId next = b.ask();
+    sent += b.sends_of(next).size();
+    for (const Action& a : b.sends_of(next)) b.serve(a, Found::kBeganLoad);
+    b.advance(8ms);
+  }
+  EXPECT_EQ(sent, 20U);  // no cold worker's budget
+}
+
+TEST(Failure, AnOrderThatABreakTookVoidsNoCopy) {
+  Bench b;
+  b.list(fleet(1));
+  traffic(b, 4s, 20ms);
+  const std::size_t before = b.all(Did::kHold).size();
+  for (int i = 0; i < 4000 && b.all(Did::kHold).size() == before; ++i) b.advance(4ms);  // a renewal
+  const Action renewed = b.all(Did::kHold).back();
+  ASSERT_GT(renewed.count, 0);
+  b.held(renewed, Outcome::kReset, 0);
+  b.advance(40ms);
+  const Action asked = b.all(Did::kHold).back();
+  ASSERT_EQ(asked.count, 0);
+  b.held(asked, Outcome::kOk, 0);  // it is gone indeed: the belief that it stood is what shows it
+  std::size_t sent = 0;
+  for (int i = 0; i < 20; ++i) sent += b.sends_of(b.ask()).size();
+  EXPECT_LT(sent, 20U);  // cold again
+}
+
 // A broken connection is no restart: asked for a copy that should stand, the worker says that it does.
 TEST(Failure, ABrokenConnectionVoidsNothingWhileTheCopyStands) {
   for (const int standing : {1, 0}) {
