Ends of connections linger, the backlog is taken, descriptors are free at once

Seen on reading, each then forced on real sockets: (1) front::Server dropped its listener with connections in the machine's backlog; they were reset with the requests on them. (2) A client's connection was closed with bytes of the client unread: the machine sends a reset then, which destroys an answer that the client has not read yet. (3) libevent closes a descriptor some turns after bufferevent_free, so a flood of connections that are turned away held them all (20 of 20 still open in the probe). (4) accept without a descriptor left the listener readable: the loop span.

The listener hands over its backlog before it ends. finish() sends the end of the stream behind the unsent bytes and gives the peer 200 ms, 256 KiB and 16 connections in all to end its side. A dropped stream's descriptor is closed within the call. Without a descriptor accepting rests 20 ms. A sequence number that had its answer gets no second one.

--- a/src/base/io.h
+++ b/src/base/io.h
@@ -44,7 +44,9 @@
   virtual std::size_t unsent() const = 0;
   // Stops or resumes on_bytes. Stopped, the peer is held back by the transport's own window.
   virtual void read(bool enabled) = 0;
-  // Ends the connection once all unsent bytes are out, at most a few seconds later. No event follows.
+  // Sends the unsent bytes and then the end of the stream (FIN), and lets the peer end its side: closed at once
+  // with bytes of the peer unread, the machine would send a reset, which destroys what was just written. What
+  // the peer still sends is thrown away. Bounded in time, bytes and number by the host. No event follows.
   virtual void finish() = 0;
 };
 
@@ -69,7 +71,11 @@
 
 class Listener {
  public:
-  virtual ~Listener() = default;  // stops listening; connections already accepted stay
+  // Stops listening; connections handed over already stay. What the machine has accepted and nobody took in
+  // yet is reset, with any request on it: take_backlog() first where that matters.
+  virtual ~Listener() = default;
+  // Hands over, within the call, what the machine has accepted up to now.
+  virtual void take_backlog() = 0;
   virtual Address address() const = 0;
 };
 
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -21,7 +21,7 @@
 
   std::size_t on_bytes(std::string_view bytes) override {
     const Time now = server_.host_.now();
-    spoke_ = true, said_ = now;
+    spoke_ = true, said_ = server_.heard_ = now;
     std::size_t used = 0;
     while (stream_) {
       const std::string_view left = bytes.substr(used);
@@ -29,7 +29,7 @@
       Reader in(left);
       const std::uint32_t size = in.u32();
       if (size > kMostFrame) {  // also what is below nothing
-        hang_up(0, "a frame's length is over its bound");
+        hang_up("a frame's length is over its bound");
         return bytes.size();
       }
       if (in.left() < size) break;
@@ -69,20 +69,26 @@
     if (stream_->unsent() > server_.options_.most_unsent) return "it does not read its answers";
     return nullptr;
   }
-  void hang_up(std::int32_t number, const std::string& why) {
+  void hang_up(const std::string& why) {
     if (!stream_) return;
     server_.events_.on_oddity("closed a client's connection: " + why);
     for (const auto& [ticket, open] : numbers_)
       write_reply(scratch_, open, {Reply::Kind::kFailed, {}, {}, {}});
     Reply reply;
     reply.kind = Reply::Kind::kException, reply.text = why;
-    if (!open_.contains(number)) write_reply(scratch_, number, reply);
+    write_reply(scratch_, 0, reply);  // under no number that ever had an answer
     if (stream_->unsent() <= server_.options_.most_unsent) {
       stream_->write(scratch_);
       stream_->finish();
     }
     server_.drop(*this);
   }
+  // In order: a client whose answer is still on its way gets it, and one whose request crosses the end sees
+  // an end and no reset.
+  void finish() {
+    if (stream_) stream_->finish();
+  }
+  std::size_t unsent() const { return stream_ ? stream_->unsent() : 0; }
   bool busy() const { return !numbers_.empty(); }
   bool spoke() const { return spoke_; }
   Time said() const { return said_; }
@@ -91,21 +97,21 @@
   void on_message(Parsed parsed) {
     Request& request = parsed.request;
     switch (parsed.kind) {
-      case Parsed::Kind::kBad: return hang_up(0, "no message: " + parsed.why);
+      case Parsed::Kind::kBad: return hang_up("no message: " + parsed.why);
       case Parsed::Kind::kUnfit: {
-        if (open_.contains(request.number)) return hang_up(request.number, "a sequence number twice");
+        if (request.number <= highest_) return hang_up("a sequence number that does not run up");
         Reply reply;
         reply.kind = Reply::Kind::kException, reply.text = parsed.why;
         reply.unknown_method = parsed.unknown_method;
         write_reply(scratch_, request.number, reply);
-        highest_ = std::max(highest_, request.number);
+        highest_ = request.number;
         return flush();
       }
       case Parsed::Kind::kRequest: break;
     }
     if (request.verb == Request::Verb::kCancel) return on_cancel(request.cancelled);
     // Two answers under one number would be two answers to one request.
-    if (request.number <= highest_) return hang_up(request.number, "a sequence number that does not run up");
+    if (request.number <= highest_) return hang_up("a sequence number that does not run up");
     highest_ = request.number;
     if (request.verb == Request::Verb::kHealth) {
       write_health(scratch_, request.number, server_.events_.healthy());
@@ -125,7 +131,7 @@
   void on_cancel(std::int32_t number) {
     const Time now = server_.host_.now();
     if (now - cancels_since_ >= kCancelsWithin) cancels_since_ = now, cancels_ = 0;
-    if (++cancels_ > server_.options_.most_cancels) return hang_up(0, "too many cancels at once");
+    if (++cancels_ > server_.options_.most_cancels) return hang_up("too many cancels at once");
     const auto it = open_.find(number);
     if (it == open_.end()) return;  // its answer has crossed it
     const Ticket ticket = it->second;
@@ -181,8 +187,33 @@
     if (!c->busy() &&
         (!oldest || std::pair(c->spoke(), c->said()) < std::pair(oldest->spoke(), oldest->said())))
       oldest = c;
-  if (oldest) drop(*oldest);
-  return oldest != nullptr;
+  if (!oldest) return false;
+  // One that has never spoken has nothing on its way; the bounded number that may linger is for the others.
+  if (oldest->spoke()) oldest->finish();
+  drop(*oldest);
+  return true;
+}
+
+void Server::stop_listening() {
+  if (!listener_) return;
+  listener_->take_backlog();
+  listener_.reset();
+}
+
+void Server::finish_idle() {
+  std::vector<Connection*> idle;
+  for (const auto& [c, owned] : connections_)
+    if (!c->busy()) idle.push_back(c);
+  for (Connection* c : idle) {
+    c->finish();
+    drop(*c);
+  }
+}
+
+std::size_t Server::unsent() const {
+  std::size_t bytes = 0;
+  for (const auto& [c, owned] : connections_) bytes += c->unsent();
+  return bytes;
 }
 
 void Server::drop(Connection& connection) {
@@ -201,7 +232,7 @@
   for (const auto& [c, owned] : connections_)
     if (const char* why = c->overdue(now)) overdue.emplace_back(c, why);
   for (const auto& [c, why] : overdue)
-    if (connections_.contains(c)) c->hang_up(0, why);
+    if (connections_.contains(c)) c->hang_up(why);
 }
 
 void Server::respond(Ticket ticket, const Reply& reply) {
--- a/src/front/server.h
+++ b/src/front/server.h
@@ -9,6 +9,9 @@
 //   nothing said within `speak_within`, half a frame for `frame_within`: as bytes that are no message
 // Over `most_connections` the one goes that has been silent longest with nothing open; where all have
 // something open, the new one. A client that does not read its answers is hung up on at `most_unsent` bytes.
+//
+// A client that ends its side has gone, also if it only ended half of the connection: what it sent before
+// is taken and then told gone, in that order.
 #pragma once
 
 #include <functional>
@@ -49,9 +52,14 @@
   bool listen(const io::Address& at);
   io::Address address() const { return listener_->address(); }
   void respond(Ticket ticket, const Reply& reply);
-  void stop_listening() { listener_.reset(); }
+  // Takes in what the machine has accepted up to now, and accepts no more.
+  void stop_listening();
+  // Ends all connections on which nothing is open, in order: what was written is read first.
+  void finish_idle();
   std::size_t connections() const { return connections_.size(); }
   std::size_t owed() const { return tickets_.size(); }
+  std::size_t unsent() const;                 // bytes of answers that the machine has not taken yet
+  Time last_heard() const { return heard_; }  // bytes of any client
 
  private:
   class Connection;
@@ -68,6 +76,7 @@
   std::map<Ticket, Connection*> tickets_;
   io::Graveyard<Connection> dead_;
   std::unique_ptr<io::Timer> sweep_;
+  Time heard_{};
   Ticket next_ = 1;
 };
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
 #include <cstring>
 #include <ctime>
@@ -24,6 +25,13 @@
 
 constexpr std::size_t kLowMark = 64U << 10;                  // unsent bytes under which a writer may go on
 constexpr Duration kFinishWithin = std::chrono::seconds(5);  // for a peer that does not read
+// A peer that has been sent our end has this long to send its own: longer than its bytes may cross ours.
+constexpr Duration kLinger = std::chrono::milliseconds(200);
+constexpr std::size_t kMostLingerBytes = 256U << 10;  // from a peer that sends on as if nothing had been said
+constexpr std::size_t kMostLingering = 16;            // descriptors; over them the oldest goes at once
+// With no descriptor left a connection cannot be taken in, and stays readable: looked at again this much
+// later.
+constexpr Duration kAcceptAgain = std::chrono::milliseconds(20);
 
 template <auto Free>
 struct Freed {
@@ -70,29 +78,73 @@
   EventPtr event_;
 };
 
-// Outlives its Stream by a moment when it still has bytes to send (finish). The loop owns it, so that one
-// that ends with such a moment under way leaves nothing behind.
-struct Lingering {
-  using All = std::map<Lingering*, std::unique_ptr<Lingering>>;
-  BufferEventPtr stream;
-  All& all;
-  void end() { all.erase(this); }
+// The library closes a descriptor some turns of the loop later. Until then it counts, and a flood of
+// connections that are turned away would leave none for the others: it goes at once.
+void close_now(BufferEventPtr stream) {
+  const evutil_socket_t fd = bufferevent_getfd(stream.get());
+  bufferevent_disable(stream.get(), EV_READ | EV_WRITE);
+  if (fd < 0) return;
+  bufferevent_setfd(stream.get(), -1);
+  evutil_closesocket(fd);
+}
+
+// Outlives its Stream when that was finished: first the unsent bytes go out, then our end of the stream; then
+// the peer has a moment to send its own. The loop owns it, so that one that ends with such a moment under way
+// leaves nothing behind.
+class Lingering {
+ public:
+  using All = std::map<std::uint64_t, std::unique_ptr<Lingering>>;  // by age
   static void start(BufferEventPtr stream, All& all) {
-    auto fresh = std::make_unique<Lingering>(Lingering{std::move(stream), all});
+    if (all.size() >= kMostLingering) all.erase(all.begin());
+    const std::uint64_t number = all.empty() ? 0 : all.rbegin()->first + 1;
+    auto fresh = std::make_unique<Lingering>(std::move(stream), all, number);
     Lingering* self = fresh.get();
-    all[self] = std::move(fresh);
-    bufferevent* raw = self->stream.get();
+    all[number] = std::move(fresh);
+    self->begin();
+  }
+  Lingering(BufferEventPtr stream, All& all, std::uint64_t number)
+      : stream_(std::move(stream)), all_(all), number_(number) {}
+  ~Lingering() { close_now(std::move(stream_)); }
+
+ private:
+  void begin() {
     const timeval tv = to_timeval(kFinishWithin);
-    bufferevent_set_timeouts(raw, &tv, &tv);
+    bufferevent_set_timeouts(stream_.get(), nullptr, &tv);
     bufferevent_setcb(
-        raw, [](bufferevent* b, void*) { evbuffer_drain(bufferevent_get_input(b), SIZE_MAX); },
-        [](bufferevent* b, void* self) {
-          if (evbuffer_get_length(bufferevent_get_output(b)) == 0) static_cast<Lingering*>(self)->end();
-        },
-        [](bufferevent*, short, void* self) { static_cast<Lingering*>(self)->end(); }, self);
-    bufferevent_setwatermark(raw, EV_WRITE, 0, 0);
-    bufferevent_enable(raw, EV_WRITE);
+        stream_.get(), [](bufferevent*, void* self) { static_cast<Lingering*>(self)->on_read(); },
+        [](bufferevent*, void* self) { static_cast<Lingering*>(self)->on_written(); },
+        [](bufferevent*, short, void* self) { static_cast<Lingering*>(self)->end(); }, this);
+    bufferevent_setwatermark(stream_.get(), EV_READ, 0, 0);
+    bufferevent_setwatermark(stream_.get(), EV_WRITE, 0, 0);
+    evbuffer_drain(bufferevent_get_input(stream_.get()), SIZE_MAX);
+    bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
+    if (evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0) on_written();
+  }
+  void on_read() {
+    evbuffer* in = bufferevent_get_input(stream_.get());
+    read_ += evbuffer_get_length(in);
+    evbuffer_drain(in, SIZE_MAX);
+    if (read_ > kMostLingerBytes) end();
   }
+  void on_written() {
+    if (evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0 || std::exchange(ended_, true)) return;
+    shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
+    // Once for all: a peer that keeps sending does not prolong it.
+    end_.reset(event_new(
+        bufferevent_get_base(stream_.get()), -1, 0,
+        [](evutil_socket_t, short, void* self) { static_cast<Lingering*>(self)->end(); }, this));
+    const timeval tv = to_timeval(kLinger);
+    event_add(end_.get(), &tv);
+    bufferevent_disable(stream_.get(), EV_WRITE);
+  }
+  void end() { all_.erase(number_); }
+
+  BufferEventPtr stream_;
+  All& all_;
+  std::uint64_t number_;
+  EventPtr end_;
+  std::size_t read_ = 0;
+  bool ended_ = false;
 };
 
 class Stream : public io::Connection {
@@ -109,8 +161,7 @@
   }
   ~Stream() override {
     *alive_ = false;
-    // The library closes a descriptor some turns of the loop later; the peer is told now.
-    if (stream_ && open_) shutdown(bufferevent_getfd(stream_.get()), SHUT_RDWR);
+    if (stream_) close_now(std::move(stream_));
   }
 
   void serve(io::ConnectionEvents* events) { events_ = events; }
@@ -229,6 +280,15 @@
     listener_.reset(evconnlistener_new_bind(base, accepted, this,
                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
                                             1024, reinterpret_cast<const sockaddr*>(&at), sizeof at));
+    if (!listener_) return;
+    evconnlistener_set_error_cb(listener_.get(),
+                                [](evconnlistener*, void* raw) { static_cast<LoopListener*>(raw)->rest(); });
+    again_.reset(event_new(
+        base, -1, 0,
+        [](evutil_socket_t, short, void* raw) {
+          evconnlistener_enable(static_cast<LoopListener*>(raw)->listener_.get());
+        },
+        this));
   }
   bool listening() const { return listener_ != nullptr; }
   io::Address address() const override {
@@ -239,8 +299,25 @@
     inet_ntop(AF_INET, &raw.sin_addr, text, sizeof text);
     return {text, ntohs(raw.sin_port)};
   }
+  void take_backlog() override {
+    while (true) {
+      const evutil_socket_t fd =
+          accept4(evconnlistener_get_fd(listener_.get()), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd >= 0)
+        accepted(nullptr, fd, nullptr, 0, this);
+      else if (errno != EINTR && errno != ECONNABORTED)
+        return;
+    }
+  }
 
  private:
+  // No descriptor, or no memory: the connection waits in the machine, and its readiness must not spin the
+  // loop.
+  void rest() {
+    evconnlistener_disable(listener_.get());
+    const timeval tv = to_timeval(kAcceptAgain);
+    event_add(again_.get(), &tv);
+  }
   static void accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* raw) {
     auto& self = *static_cast<LoopListener*>(raw);
     auto stream = std::make_unique<Stream>(self.base_, fd, self.options_, self.lingering_);
@@ -256,6 +333,7 @@
   io::Host::Accept accept_;
   Lingering::All& lingering_;
   std::unique_ptr<evconnlistener, Freed<evconnlistener_free>> listener_;
+  EventPtr again_;
 };
 
 }  // namespace
--- a/src/sim/network.cpp
+++ b/src/sim/network.cpp
@@ -85,6 +85,7 @@
   }
   ~SimListener() override { net_.listeners_.erase(at_); }
   io::Address address() const override { return at_; }
+  void take_backlog() override {}  // here a connection is handed over in the moment it is made
   Accept accept;
 
  private:
