--- a/src/base/io.h
+++ b/src/base/io.h
@@ -44,9 +44,10 @@
   virtual std::size_t unsent() const = 0;
   // Stops or resumes on_bytes. Stopped, the peer is held back by the transport's own window.
   virtual void read(bool enabled) = 0;
-  // Sends the unsent bytes and then the end of the stream (FIN), and lets the peer end its side: closed at once
-  // with bytes of the peer unread, the machine would send a reset, which destroys what was just written. What
-  // the peer still sends is thrown away. Bounded in time, bytes and number by the host. No event follows.
+  // Sends the unsent bytes and then the end of the stream (FIN), and lets the peer end its side: closed at
+  // once with bytes of the peer unread, the machine would send a reset, which destroys what was just written.
+  // What the peer still sends is thrown away. Bounded in time, bytes and number by the host. No event
+  // follows.
   virtual void finish() = 0;
 };
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -275,8 +275,8 @@
 class LoopListener : public io::Listener {
  public:
   LoopListener(event_base* base, const sockaddr_in& at, const io::StreamOptions& options,
-               io::Host::Accept accept, Lingering::All& lingering)
-      : base_(base), options_(options), accept_(std::move(accept)), lingering_(lingering) {
+               io::Host::Accept accept, Lingering::All& lingering, std::uint64_t& failed)
+      : base_(base), options_(options), accept_(std::move(accept)), lingering_(lingering), failed_(failed) {
     listener_.reset(evconnlistener_new_bind(base, accepted, this,
                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
                                             1024, reinterpret_cast<const sockaddr*>(&at), sizeof at));
@@ -314,6 +314,7 @@
   // No descriptor, or no memory: the connection waits in the machine, and its readiness must not spin the
   // loop.
   void rest() {
+    ++failed_;
     evconnlistener_disable(listener_.get());
     const timeval tv = to_timeval(kAcceptAgain);
     event_add(again_.get(), &tv);
@@ -332,6 +333,7 @@
   io::StreamOptions options_;
   io::Host::Accept accept_;
   Lingering::All& lingering_;
+  std::uint64_t& failed_;
   std::unique_ptr<evconnlistener, Freed<evconnlistener_free>> listener_;
   EventPtr again_;
 };
@@ -342,6 +344,7 @@
   LoopOptions options;
   std::unique_ptr<event_base, Freed<event_base_free>> base;
   Lingering::All lingering;
+  std::uint64_t accepts_failed = 0;
   std::mt19937_64 random{std::random_device{}()};
   struct Signal {
     std::function<void()> handler;
@@ -421,8 +424,8 @@
                                            Accept accept) {
   const auto raw = to_sockaddr(at);
   if (!raw || (impl_->options.loopback_only && !is_loopback(at))) return nullptr;
-  auto listener =
-      std::make_unique<LoopListener>(impl_->base.get(), *raw, options, std::move(accept), impl_->lingering);
+  auto listener = std::make_unique<LoopListener>(impl_->base.get(), *raw, options, std::move(accept),
+                                                 impl_->lingering, impl_->accepts_failed);
   if (!listener->listening()) return nullptr;
   return listener;
 }
@@ -450,6 +453,8 @@
   static_cast<void>(ignored);
 }
 
+std::uint64_t Loop::accepts_failed() const { return impl_->accepts_failed; }
+
 void Loop::run() { event_base_loop(impl_->base.get(), EVLOOP_NO_EXIT_ON_EMPTY); }
 void Loop::stop() { event_base_loopbreak(impl_->base.get()); }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -31,6 +31,8 @@
   void on_signal(int number, std::function<void()> handler);
   // From any thread: runs `what` on the loop's, in order. What is left when the loop ends is dropped.
   void post(std::function<void()> what);
+  // Times that a connection waited and no descriptor was left to take it in.
+  std::uint64_t accepts_failed() const;
   void run();   // until stop()
   void stop();  // from the loop's thread
 
--- a/src/worker/port.h
+++ b/src/worker/port.h
@@ -47,7 +47,8 @@
   virtual void withdraw(std::uint64_t cookie) = 0;
   // The same for all that waits here, orders and probes too (those end as full): the worker leaves.
   virtual void withdraw_waiting() = 0;
-  // The caller waits no longer: no end comes, a later answer is passed over. True when nothing of it had left.
+  // The caller waits no longer: no end comes, a later answer is passed over. True when nothing of it had
+  // left.
   virtual bool forget_call(std::uint64_t cookie) = 0;
   virtual void forget_hold(std::uint64_t cookie) = 0;  // or a probe
   virtual void hold(const std::string& function, int instances, std::uint64_t cookie) = 0;
