Failing test: a copied refusal is taken for the answer of the call's next attempt

What callers saw: a request that must not be repeated ran twice. Reproduced on a real node over loopback: a worker answers a call's first attempt with miss, full or over, and sends that answer a second time, on the connection that brought it, when the call's next attempt is out there.

The log of such a call: attempts w1/c2+0:moot+0,w1/c2+0:moot+0 ..., four attempts over one connection within a millisecond.

The stand-in invoker gains copies of answers, refusals of first attempts and of a share of calls, and notes what ran; NodeProcess of the outage test stands in a header for both.

--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::uint8_t kTheirs = 76, kOurs = 108;
-constexpr std::uint8_t kFull = 100, kWell = 103, kUnwell = 104;  // answers
+constexpr std::uint8_t kOk = 97, kMiss = 99, kFull = 100, kWell = 103, kUnwell = 104;  // answers
 constexpr Duration kDripEvery = std::chrono::milliseconds(100);
 
 // CRC-32 (IEEE), bit by bit from its definition.
@@ -123,28 +123,9 @@
 
 void PlatformInvoker::on_frame(Session& session, std::uint8_t code, std::uint64_t id, std::string fields,
                                std::string body) {
-  const std::uint64_t number = session.number;
-  const auto to = [this, number]() -> Session* {
-    const auto it = sessions_.find(number);
-    return it == sessions_.end() ? nullptr : it->second.get();
-  };
+  const auto to = [this, number = session.number] { return this->session(number); };
   switch (code) {
-    case 65: {
-      calls_.push_back({id, fields, body, false});
-      const std::size_t place = calls_.size() - 1;
-      if (draining_) {
-        sent_while_draining_.push_back({host_.now(), code});
-        return answer(to(), kFull, id, "", "");
-      }
-      if (only_ != 0) return answer(to(), only_, id, "", "");
-      const std::string function = value_of(fields, "k");
-      if (copies(function) == 0) return answer(to(), 99, id, "", "");
-      const std::string load = options_.load_report.empty() ? "" : ",load=" + options_.load_report;
-      return later(options_.run, [this, to, id, place, load] {
-        if (!calls_[place].given_up)
-          answer(to(), 97, id, "ahead=2" + load, "answer to " + calls_[place].body);
-      });
-    }
+    case 65: return take_call(session, id, fields, std::move(body));
     case 66:
       for (Seen& call : calls_)
         if (call.id == id) call.given_up = true;
@@ -176,6 +157,58 @@
   }
 }
 
+PlatformInvoker::Session* PlatformInvoker::session(std::uint64_t number) {
+  const auto it = sessions_.find(number);
+  return it == sessions_.end() ? nullptr : it->second.get();
+}
+
+void PlatformInvoker::take_call(Session& session, std::uint64_t id, const std::string& fields,
+                                std::string body) {
+  const bool first = std::none_of(calls_.begin(), calls_.end(), [&](const Seen& s) { return s.id == id; });
+  calls_.push_back({id, fields, std::move(body), false, false, host_.now()});
+  const std::size_t place = calls_.size() - 1;
+  copy_earlier(id);
+  if (draining_) {
+    sent_while_draining_.push_back({host_.now(), 65});
+    return answer(&session, kFull, id, "", "");
+  }
+  if (only_ != 0) return answer(&session, only_, id, "", "");
+  if (refuse_first_ != 0 && first) return answer(&session, refuse_first_, id, "", "");
+  if (refuse_some_ != 0 && chance() < refused_share_) return answer(&session, refuse_some_, id, "", "");
+  if (copies(value_of(fields, "k")) == 0) return answer(&session, kMiss, id, "", "");
+  calls_[place].ran = true;
+  const std::string load = options_.load_report.empty() ? "" : ",load=" + options_.load_report;
+  later(options_.run, [this, number = session.number, id, place, load] {
+    if (!calls_[place].given_up)
+      answer(this->session(number), kOk, id, "ahead=2" + load, "answer to " + calls_[place].body);
+  });
+}
+
+void PlatformInvoker::copy_earlier(std::uint64_t id) {
+  if (!copy_at_next_attempt_) return;
+  const auto [begin, end] = refused_.equal_range(id);
+  for (auto it = begin; it != end; ++it) {
+    Session* const brought = session(it->second.session);
+    if (!brought || !brought->connection) continue;
+    brought->connection->write(it->second.bytes);
+    ++copies_sent_;
+  }
+}
+
+void PlatformInvoker::copy_later(Session& session, std::string bytes) {
+  if (copies_sent_as_.share <= 0 || chance() >= copies_sent_as_.share) return;
+  const double part = chance();
+  const Duration span = copies_sent_as_.most - copies_sent_as_.least;
+  const Duration after =
+      copies_sent_as_.least + Duration(static_cast<Duration::rep>(part * static_cast<double>(span.count())));
+  later(after, [this, number = session.number, bytes = std::move(bytes)] {
+    Session* const to = this->session(number);
+    if (!to || !to->connection) return;
+    to->connection->write(bytes);
+    ++copies_sent_;
+  });
+}
+
 void PlatformInvoker::answer(Session* session, std::uint8_t code, std::uint64_t id, std::string fields,
                              std::string body) {
   if (!session || !session->connection) return;
@@ -185,7 +218,10 @@
   session->used_at = host_.now();
   std::string bytes = frame(code, id, fields, body);
   switch (how) {
-    case Spoil::kNone: return out.write(bytes);
+    case Spoil::kNone:
+      if (copy_at_next_attempt_ && code != kOk) refused_.emplace(id, Refused{session->number, bytes});
+      out.write(bytes);
+      return copy_later(*session, std::move(bytes));
     case Spoil::kCheck: bytes.back() = static_cast<char>(bytes.back() ^ 1); return out.write(bytes);
     case Spoil::kMark: return out.write("HTTP/1.1 200 OK\r\n\r\n");
     case Spoil::kHuge: {
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <vector>
 
@@ -34,6 +35,13 @@
     std::uint64_t id = 0;
     std::string fields, body;
     bool given_up = false;
+    bool ran = false;  // it began: its effect may have happened
+    Time at{};
+  };
+  // How often what is answered comes a second time, on the same connection, and how much later.
+  struct Copies {
+    double share = 0;
+    Duration least{}, most{};
   };
   struct Options {
     io::Address address;
@@ -52,6 +60,15 @@
     spoils_.insert(spoils_.end(), static_cast<std::size_t>(times), how);
   }
   void answer_all(std::uint8_t code) { only_ = code; }  // 0: as usual
+  // The first time that an id comes it gets this answer, then the usual one. 0: always the usual one.
+  void refuse_first(std::uint8_t code) { refuse_first_ = code; }
+  // This share of calls gets this answer, by chance.
+  void refuse_some(std::uint8_t code, double share) { refuse_some_ = code, refused_share_ = share; }
+  void send_copies(const Copies& copies) { copies_sent_as_ = copies; }
+  // When a call comes again, what it got before comes again at once on the connection that brought it.
+  void copy_at_next_attempt(bool on) { copy_at_next_attempt_ = on; }
+  std::size_t copies_sent() const { return copies_sent_; }
+  void seed(std::uint64_t value) { random_.seed(value); }
   // Draining, it finishes what it has, turns away new calls and orders to load (100) and calls itself unwell
   // to probes (104); an order for 0 copies gets its usual answer.
   void set_draining(bool on) { draining_ = on; }
@@ -73,6 +90,11 @@
   class Session;
   void on_frame(Session& session, std::uint8_t code, std::uint64_t id, std::string fields, std::string body);
   void answer(Session* session, std::uint8_t code, std::uint64_t id, std::string fields, std::string body);
+  void take_call(Session& session, std::uint64_t id, const std::string& fields, std::string body);
+  Session* session(std::uint64_t number);
+  void copy_earlier(std::uint64_t id);
+  void copy_later(Session& session, std::string bytes);
+  double chance() { return std::uniform_real_distribution<>(0, 1)(random_); }
   void later(Duration after, std::function<void()> what);
 
   io::Host& host_;
@@ -83,7 +105,17 @@
   std::vector<std::unique_ptr<io::Timer>> timers_;
   std::uint64_t next_session_ = 1;
   std::deque<Spoil> spoils_;
-  std::uint8_t only_ = 0;
+  std::uint8_t only_ = 0, refuse_first_ = 0, refuse_some_ = 0;
+  double refused_share_ = 0;
+  Copies copies_sent_as_;
+  bool copy_at_next_attempt_ = false;
+  struct Refused {
+    std::uint64_t session = 0;
+    std::string bytes;
+  };
+  std::multimap<std::uint64_t, Refused> refused_;  // by id, while copies of it may be sent
+  std::mt19937_64 random_{1};
+  std::size_t copies_sent_ = 0;
   Duration reset_rested_{};
   bool draining_ = false;
   std::vector<SentWhileDraining> sent_while_draining_;
--- /dev/null
+++ b/tests/apps/call_run_twice_test.cpp
@@ -0,0 +1,166 @@
+// A call that may not run twice is run once, though answers come twice: real nodes over loopback, the
+// platform's stand-ins in this process. Judged from what workers ran and what clients were told.
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <filesystem>
+#include <map>
+
+#include "apps/node_process.h"
+#include "platform/frame.h"
+#include "sockets.h"
+#include "standin/platform.h"
+
+namespace laureltide::apps {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+using standin::PlatformBus;
+using standin::PlatformClient;
+using standin::PlatformInvoker;
+
+constexpr std::uint64_t kFirstFunction = 0xf1;
+constexpr std::uint8_t kMiss = 99, kFull = 100, kOver = 102;  // what tells that a call never ran
+
+// Nodes, workers and clients; counts what became of each call.
+class CallRunTwice : public testing::Test {
+ protected:
+  std::string dir = fresh_directory("laureltide-twice-test-");
+  net::Loop loop;
+  PlatformBus bus{loop, {"127.0.0.1", 0}};
+  std::vector<std::unique_ptr<PlatformInvoker>> workers;
+  std::vector<std::unique_ptr<NodeProcess>> nodes;
+  std::vector<std::unique_ptr<PlatformClient>> clients;
+  struct Sent {
+    PlatformClient* client = nullptr;
+    std::int32_t number = 0;
+    bool once = false;  // may not be repeated
+  };
+  std::map<std::uint64_t, Sent> sent;  // by id
+  std::uint64_t next_id = 0x1000;
+
+  void TearDown() override {
+    nodes.clear();
+    std::error_code error;
+    std::filesystem::remove_all(dir, error);
+  }
+  void start(int worker_count, int node_count, int sockets = 256) {
+    ASSERT_TRUE(bus.start());
+    std::vector<standin::PlatformMember> members;
+    for (int i = 0; i < worker_count; ++i) {
+      workers.push_back(std::make_unique<PlatformInvoker>(
+          loop, PlatformInvoker::Options{{"127.0.0.1", 0}, 40ms, 20ms, 4096, {}}));
+      workers.back()->seed(static_cast<std::uint64_t>(i) + 1);
+      ASSERT_TRUE(workers.back()->start());
+      members.push_back({"s-" + std::to_string(i), workers.back()->address(), "active", 0, 0});
+    }
+    bus.tell(members);
+    json doc = node::tests::config();
+    doc["bus"] = bus.address().text();
+    doc["limits"]["sockets"] = sockets;
+    for (json& c : doc["settings"]["classes"]) c["give_up_ns"] = Duration(3s).count();
+    for (int n = 0; n < node_count; ++n) {
+      nodes.push_back(std::make_unique<NodeProcess>("n" + std::to_string(n), dir, doc));
+      nodes.back()->start(bus.known());
+    }
+    clients.resize(nodes.size());
+    for (std::size_t n = 0; n < nodes.size(); ++n) connect(n);
+  }
+  void connect(std::size_t n) {
+    const bool good = ::laureltide::tests::run_until(
+        loop,
+        [&] {
+          if (!clients[n] || clients[n]->closed()) {
+            clients[n] = std::make_unique<PlatformClient>(loop, nodes[n]->address());
+            clients[n]->health();
+          }
+          const auto reply = clients[n]->replies().find(1);
+          return reply != clients[n]->replies().end() && reply->second.good;
+        },
+        60s);
+    ASSERT_TRUE(good) << nodes[n]->log();
+  }
+  void call(PlatformClient& client, bool once, std::uint64_t function) {
+    const std::uint64_t id = next_id++;
+    const std::int32_t number = client.call({{"op", once ? "release" : "read"},
+                                             {"call", platform::id_text(id)},
+                                             {"ttl", "2900"},
+                                             {"org", "yard"},
+                                             {"row", platform::id_text(function)},
+                                             {"work", "8"}},
+                                            "b");
+    sent[id] = {&client, number, once};
+  }
+  const PlatformClient::Reply* reply(const Sent& call) const {
+    const auto it = call.client->replies().find(call.number);
+    return it == call.client->replies().end() ? nullptr : &it->second;
+  }
+  bool all_answered() {
+    return ::laureltide::tests::run_until(
+        loop, [&] { return std::all_of(sent.begin(), sent.end(), [&](auto& s) { return reply(s.second); }); },
+        20s);
+  }
+  // The functions stand before what is tested.
+  void load(std::uint64_t functions) {
+    for (std::uint64_t f = 0; f < functions; ++f) call(*clients[0], true, kFirstFunction + f);
+    ASSERT_TRUE(all_answered()) << logs();
+  }
+  std::string logs() const {
+    std::string all;
+    for (const auto& node : nodes) all += node->log();
+    return all;
+  }
+  std::size_t copies_sent() const {
+    std::size_t n = 0;
+    for (const auto& worker : workers) n += worker->copies_sent();
+    return n;
+  }
+
+  // Rules 1 and 2, and that the service goes on.
+  void judge(double least_served) {
+    ASSERT_TRUE(all_answered()) << logs();
+    std::map<std::uint64_t, int> runs;
+    for (const auto& worker : workers)
+      for (const PlatformInvoker::Seen& seen : worker->calls()) runs[seen.id] += seen.ran;
+    std::size_t twice = 0, refused_though_run = 0, two_answers = 0, served = 0;
+    for (const auto& [id, call] : sent) {
+      const std::string kind = reply(call)->kind;
+      two_answers += call.client->replies().count(call.number) != 1;
+      served += kind == "served";
+      if (!call.once) continue;
+      twice += runs[id] > 1;
+      refused_though_run += kind == "refused" && runs[id] > 0;
+    }
+    EXPECT_EQ(twice, 0U) << "of " << sent.size() << " calls\n" << logs();
+    EXPECT_EQ(refused_though_run, 0U) << logs();
+    EXPECT_EQ(two_answers, 0U) << logs();
+    EXPECT_GE(static_cast<double>(served), least_served * static_cast<double>(sent.size())) << logs();
+    EXPECT_GT(copies_sent(), 0U);
+    RecordProperty("calls", static_cast<int>(sent.size()));
+    RecordProperty("served", static_cast<int>(served));
+    RecordProperty("copies", static_cast<int>(copies_sent()));
+  }
+};
+
+class CopiedRefusal : public CallRunTwice, public testing::WithParamInterface<std::uint8_t> {};
+
+// The copy of an earlier refusal comes when the next attempt of the same call is out at the same worker.
+TEST_P(CopiedRefusal, IsNotTakenForTheAnswerOfTheNextAttempt) {
+  ASSERT_NO_FATAL_FAILURE(start(1, 1));
+  load(4);
+  workers[0]->refuse_first(GetParam());
+  workers[0]->copy_at_next_attempt(true);
+  for (std::uint64_t n = 0; n < 40; ++n) {
+    call(*clients[0], true, kFirstFunction + n % 4);
+    ::laureltide::tests::run_for(loop, 25ms);
+  }
+  judge(0.9);
+}
+
+INSTANTIATE_TEST_SUITE_P(Node, CopiedRefusal, testing::Values(kMiss, kFull, kOver), [](const auto& info) {
+  return info.param == kMiss ? "Miss" : info.param == kFull ? "Full" : "Over";
+});
+
+}  // namespace
+}  // namespace laureltide::apps
--- a/tests/apps/discovery_outage_test.cpp
+++ b/tests/apps/discovery_outage_test.cpp
@@ -16,10 +16,8 @@
 
 #include <csignal>
 #include <filesystem>
-#include <fstream>
 
-#include "apps/tools.h"
-#include "node/configuration.h"
+#include "apps/node_process.h"
 #include "platform/frame.h"
 #include "sockets.h"
 #include "standin/platform.h"
@@ -49,36 +47,6 @@
 
 void PrintTo(const OutageCase& outage, std::ostream* out) { *out << outage.name; }
 
-class NodeProcess {
- public:
-  NodeProcess(std::string name, const std::string& dir, json doc)
-      : dir_(dir + "/" + name), doc_(std::move(doc)) {
-    std::filesystem::create_directories(dir_);
-    doc_["name"] = name;
-    doc_["listen"] = address().text();
-  }
-  void start(const std::string& known) {
-    doc_["known"] = json::parse(known);
-    std::ofstream(dir_ + "/config.json") << doc_.dump();
-    setenv("ROUTER_CONFIG", (dir_ + "/config.json").c_str(), 1);
-    child_ = std::make_unique<Child>(
-        std::vector<std::string>{std::string(LAURELTIDE_BIN) + "/laureltide", "node"}, dir_ + "/log");
-  }
-  void signal(int number) { child_->signal(number); }
-  int wait() { return child_->wait(10s); }
-  io::Address address() const { return {"127.0.0.1", port_.port()}; }
-  std::string log() const {
-    std::ifstream in(dir_ + "/log");
-    return {std::istreambuf_iterator<char>(in), {}};
-  }
-
- private:
-  PortReserve port_;
-  std::string dir_;
-  json doc_;
-  std::unique_ptr<Child> child_;
-};
-
 class DiscoveryOutage : public testing::TestWithParam<OutageCase> {
  protected:
   std::string dir = fresh_directory("laureltide-outage-test-");
