A keyed call's repeat leaves only while workers drop repeats, also after a late dial

What callers saw: a keyed call ran again after the time in which the workers drop its repeats.

Cause: the window was checked when a repeat was decided (decide.cpp, may_send). Its bytes leave when the connection stands, up to the dial's time later, or when the machine takes them; there only the drain rule was asked again (Link::Wire::on_open, look_at_unsent).

Repair: what is decided about time is asked again where bytes leave: Dispatcher::may_leave says whether the request is open, its deadline not past and, for a keyed repeat, the window still open. A frame that waited is withheld as never run; bytes that the machine does not take end their connection.

--- a/include/laureltide/dispatcher.h
+++ b/include/laureltide/dispatcher.h
@@ -262,6 +262,9 @@
 
   // Whether something new may begin at the worker: for what was decided on a while ago and leaves only now.
   bool may_begin(Time now, WorkerId worker) const;
+  // Whether the bytes of an attempt may leave now that was decided on a while ago. Not past the deadline, nor
+  // once the request has ended, nor past the time in which workers drop repeats of what may have run.
+  bool may_leave(Time now, RequestId request, AttemptNumber attempt) const;
   // Whether the list is current enough to go by alone.
   bool list_holds(Time now) const;
   const LeaseCounters& lease_counters() const;
--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -316,6 +316,11 @@
   attempt.connection = connection;
 }
 
+bool Core::may_leave(WorkerId, std::uint64_t word) {
+  const RequestId request{static_cast<std::uint32_t>(word >> 8)};
+  return module_->may_leave(host_.now(), request, static_cast<AttemptNumber>(word & 0xff));
+}
+
 void Core::on_connection_end(WorkerId, std::string_view why) {
   const auto it = counters_.connections_ended.find(why);
   if (it != counters_.connections_ended.end())
--- a/src/controller/core.h
+++ b/src/controller/core.h
@@ -151,6 +151,7 @@
   void on_call_left(WorkerId worker, std::uint64_t cookie, std::uint64_t connection) override;
   void on_connection_end(WorkerId worker, std::string_view why) override;
   bool may_begin(WorkerId worker) override { return module_->may_begin(host_.now(), worker); }
+  bool may_leave(WorkerId worker, std::uint64_t cookie) override;
   void on_oddity(WorkerId worker, const std::string& what) override;
 
  private:
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -986,21 +986,42 @@
                        [](auto& a) { return a.fate == Fate::kNeverRan; });
   }
 
+  // Of its first `count` attempts.
+  static const Attempt* first_that_may_have_run(const Open& o, std::size_t count) {
+    const auto end = o.attempts.begin() + static_cast<std::ptrdiff_t>(count);
+    const auto it =
+        std::find_if(o.attempts.begin(), end, [](const Attempt& a) { return a.fate != Fate::kNeverRan; });
+    return it == end ? nullptr : &*it;
+  }
+
+  // Rule 2, in time: workers drop repeats of a keyed request for so long after its first attempt.
+  bool within_repeat_window(const Open& o, const Attempt& first) const {
+    return now + settings.tick < first.sent + class_of(o.request).repeat_window;
+  }
+
   // Rules 2 and 4, for one worker.
   bool may_send(const Open& o, Worker& worker) {
     const RequestClass& c = class_of(o.request);
-    if (c.semantics == Semantics::kKeyed)
-      for (const Attempt& a : o.attempts) {
-        if (a.fate == Fate::kNeverRan) continue;
-        const WorkerEntry& first = workers[a.worker].entry;
-        if (now + settings.tick >= a.sent + c.repeat_window) return false;
-        if (c.group == RepeatGroup::kZone && first.zone != worker.entry.zone) return false;
-        if (c.group == RepeatGroup::kCell && first.cell != worker.entry.cell) return false;
-        break;
-      }
+    const Attempt* const ran = first_that_may_have_run(o, o.attempts.size());
+    if (c.semantics == Semantics::kKeyed && ran) {
+      const WorkerEntry& first = workers[ran->worker].entry;
+      if (!within_repeat_window(o, *ran)) return false;
+      if (c.group == RepeatGroup::kZone && first.zone != worker.entry.zone) return false;
+      if (c.group == RepeatGroup::kCell && first.cell != worker.entry.cell) return false;
+    }
     return cold_budget(worker, weight(o.request.request_class));
   }
 
+  // Rules 1 and 2, for the time at which the bytes of an attempt leave that has waited since it was decided.
+  bool may_leave(RequestId id, AttemptNumber number) const {
+    const auto it = open.find(id);
+    if (it == open.end() || number >= it->second.attempts.size()) return false;
+    const Open& o = it->second;
+    if (o.answered || now >= o.request.deadline) return false;
+    const Attempt* const ran = first_that_may_have_run(o, number);
+    return class_of(o.request).semantics != Semantics::kKeyed || !ran || within_repeat_window(o, *ran);
+  }
+
   // A worker that starts. Credit begins at a random part of a call, so that the first calls of many front
   // ends with few each are spread as evenly as those of one with many.
   void chill(Worker& worker, Time since) {
@@ -1071,6 +1092,9 @@
 void Dispatcher::on(Time now, const PeerMessage& message) { state_->at(now).peer_told(message); }
 void Dispatcher::on(Time now, const TimerFired& timer) { state_->at(now).timer(timer.token); }
 bool Dispatcher::may_begin(Time now, WorkerId worker) const { return state_->at(now).may_begin(worker); }
+bool Dispatcher::may_leave(Time now, RequestId request, AttemptNumber attempt) const {
+  return state_->at(now).may_leave(request, attempt);
+}
 bool Dispatcher::list_holds(Time now) const { return state_->leases.list_holds(now); }
 const LeaseCounters& Dispatcher::lease_counters() const { return state_->leases.counters(); }
 
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -48,7 +48,9 @@
     retired |= carried.full();
     put(frame);
     const Key& key = out.at(id);
-    if (key.first) link_.events_.on_call_left(link_.worker_, key.second, number);
+    if (!key.first) return;
+    link_.events_.on_call_left(link_.worker_, key.second, number);
+    if (connection_->unsent() > 0) untaken_.push_back(id);
   }
   void put(std::string_view frame) {
     const Time now = link_.host_.now();
@@ -85,7 +87,9 @@
     timer_->stop();
     const bool may_begin = link_.events_.may_begin(link_.worker_);
     for (const auto& [id, what] : std::exchange(waiting, {})) {
-      if (what.begins && !may_begin)
+      const Key& key = out.at(id);
+      const bool may_leave = !key.first || link_.events_.may_leave(link_.worker_, key.second);
+      if ((what.begins && !may_begin) || !may_leave)
         link_.withhold(*this, id);
       else
         put_asked(id, what.frame);
@@ -124,8 +128,13 @@
 
  private:
   void look_at_unsent() {
-    if (!connection_ || connection_->unsent() == 0) return;
-    if (!link_.events_.may_begin(link_.worker_)) return link_.drop_later(*this);
+    if (!connection_) return;
+    if (connection_->unsent() == 0) return untaken_.clear();
+    const bool late = std::any_of(untaken_.begin(), untaken_.end(), [this](std::uint64_t id) {
+      const auto it = out.find(id);
+      return it != out.end() && !link_.events_.may_leave(link_.worker_, it->second.second);
+    });
+    if (late || !link_.events_.may_begin(link_.worker_)) return link_.drop_later(*this);
     unsent_timer_->start(kLookAtUnsentEvery);
   }
   void on_timer() {
@@ -136,6 +145,7 @@
   static constexpr Duration kLookAtUnsentEvery = std::chrono::milliseconds(25);
 
   Link& link_;
+  std::vector<std::uint64_t> untaken_;  // ids of calls of which the machine may hold bytes back
   std::unique_ptr<io::Timer> timer_, unsent_timer_;
   std::unique_ptr<io::Connection> connection_;
 };
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -17,9 +17,10 @@
 // Told as never run: a miss, full, "was over", a dial that failed, a call given up before its connection
 // stood. Told as may have run: everything handed to the transport whose answer did not come, or came spoilt.
 //
-// What waits for a connection leaves only if the worker may still begin something new when the connection
-// stands (LinkEvents::may_begin). Bytes that the machine does not take are looked at again, and their
-// connection ends when the worker may not: they would leave when it reads.
+// What waits for a connection leaves only if, when the connection stands, the worker may still begin
+// something new (LinkEvents::may_begin) and the call may still leave (may_leave). Bytes that the machine does
+// not take are looked at again, and their connection ends when they may not: they would leave when the worker
+// reads.
 //
 // An answer names the call's id, which all attempts of a call share, and may come twice. So an id never goes
 // over one connection twice: what comes on a connection is of the one attempt that it carried. Where each
--- a/src/sim/network.cpp
+++ b/src/sim/network.cpp
@@ -122,7 +122,9 @@
   link->to = to;
   link->ends[0].events = &events;
   links_.insert(link);
-  after(delay(), [this, link, options] {
+  const auto late = connect_delays_.find(to);
+  const Duration more = late == connect_delays_.end() ? Duration(0) : late->second;
+  after(delay() + more, [this, link, options] {
     if (link->over || !link->ends[0].events) return;
     if (silent_.contains(link->to)) {  // a SYN without an answer
       after(options.connect_timeout, [this, link] { end(link, 0, io::Closed::kNeverOpened); });
--- a/src/sim/network.h
+++ b/src/sim/network.h
@@ -50,6 +50,8 @@
   std::int64_t wall_shift_ms = 0;                       // a jump of the wall clock
   void break_connections(const io::Address& to);        // all that were made to this address are reset
   void set_silent(const io::Address& to, bool silent);  // bytes both ways are held back, nothing is reset
+  // Connections made to it from now on come up so much later.
+  void set_connect_delay(const io::Address& to, Duration delay) { connect_delays_[to] = delay; }
   std::size_t connections(const io::Address& to) const;
   std::size_t unsent(const io::Address& to) const;  // bytes on their way to the listener there
 
@@ -79,6 +81,7 @@
   std::map<io::Address, SimListener*> listeners_;
   std::set<std::shared_ptr<Link>> links_;
   std::set<io::Address> silent_;
+  std::map<io::Address, Duration> connect_delays_;
   std::uint16_t next_port_ = 20000;
 };
 
--- a/tests/node/crossings_test.cpp
+++ b/tests/node/crossings_test.cpp
@@ -499,7 +499,9 @@
   void on_probe_end(WorkerId, std::uint64_t, Outcome, LoadReport) override {}
   void on_oddity(WorkerId, const std::string&) override {}
   bool may_begin(WorkerId) override { return may; }
+  bool may_leave(WorkerId, std::uint64_t cookie) override { return cookie != over; }
   bool may = true;
+  std::uint64_t over = 0;  // the call that may not leave any more
   bool run_until(const std::function<bool()>& done) { return ::laureltide::tests::run_until(loop, done); }
 
   void SetUp() override {
@@ -537,6 +539,14 @@
   for (std::uint64_t c = 1; c <= kCalls; ++c) EXPECT_EQ(ends[c], std::vector<Outcome>{Outcome::kReset}) << c;
 }
 
+// The workers drop repeats of it no more.
+TEST_F(QueuedLink, ACallThatMayNotLeaveAnyMoreDoesNot) {
+  over = kCalls;
+  ASSERT_TRUE(run_until([&] { return ends.size() == kCalls; }));
+  EXPECT_FALSE(read_all().contains(kCalls));
+  EXPECT_EQ(ends[kCalls], std::vector<Outcome>{Outcome::kReset});
+}
+
 TEST_F(QueuedLink, LeavesWhenTheInvokerReads) { EXPECT_EQ(read_all().size(), kCalls); }
 
 TEST_F(QueuedLink, ACallThatNobodyWantsNeverLeaves) {
--- a/tests/platform/link_test.cpp
+++ b/tests/platform/link_test.cpp
@@ -105,7 +105,9 @@
   void on_probe_end(WorkerId, std::uint64_t c, Outcome o, LoadReport) override { probes[c].push_back(o); }
   void on_oddity(WorkerId, const std::string&) override { ++oddities; }
   bool may_begin(WorkerId) override { return may; }
+  bool may_leave(WorkerId, std::uint64_t cookie) override { return !over.contains(cookie); }
   bool may = true;
+  std::set<std::uint64_t> over;  // calls that may not leave any more
 
   void call(std::uint64_t cookie, std::uint64_t id = 0) {
     worker::Call c;
@@ -144,6 +146,16 @@
   EXPECT_TRUE(link.idle());
 }
 
+TEST_F(LinkTest, ACallThatWaitedForAConnectionLeavesOnlyIfItStillMay) {
+  call(1), call(2);
+  over = {1};
+  net.run_for(200ms);
+  EXPECT_EQ(outcome(1), Outcome::kMoot);
+  EXPECT_EQ(outcome(2), Outcome::kMiss);
+  ASSERT_EQ(invoker.calls().size(), 1U);
+  EXPECT_EQ(invoker.calls()[0].body, "body 2");
+}
+
 TEST_F(LinkTest, ACallAndWhatComesWithItsAnswer) {
   load();
   call(1);
