A cancelled call whose bytes were held back is always given up at its worker

What a caller could see: two attempts of a keyed or repeatable call at once, at two workers.

Cause: a call that is cancelled while its connection has bytes that the machine does not take cannot be given up by a frame (it would queue behind them), so the connection was to be ended at the loop's next turn, but only if bytes were still held back then (Link::drop_later). Where the machine took them in between, the connection stayed and no give-up was ever written, while the call was told as cancelled and its next attempt left.

Repair: such a connection ends at the next turn whatever has been taken by then; the same holds where bytes may not leave any more.

On the way: connections that end because they get nothing new are counted as retired, not as taking no bytes.

--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -72,6 +72,7 @@
   Time used_at{};                // last byte either way
   Duration rested{};             // idle before the last frame
   bool retired = false;          // gets nothing new, and ends with what is out
+  bool ending = false;           // ends at the next turn whatever is out
   std::optional<Time> asked_at;  // of the first frame since the last byte came
   std::size_t unknown = 0;
   struct Waiting {
@@ -134,7 +135,7 @@
       const auto it = out.find(id);
       return it != out.end() && !link_.events_.may_leave(link_.worker_, it->second.second);
     });
-    if (late || !link_.events_.may_begin(link_.worker_)) return link_.drop_later(*this);
+    if (late || !link_.events_.may_begin(link_.worker_)) return link_.end_later(*this);
     unsent_timer_->start(kLookAtUnsentEvery);
   }
   void on_timer() {
@@ -331,7 +332,9 @@
     write(scratch_, kFromController, Code::kGiveUp, asked.id, {}, {});
     wire.put(scratch_);
   }
-  if (stuck || (wire.retired && wire.out.empty()))
+  if (stuck)
+    end_later(wire);
+  else if (wire.retired && wire.out.empty())
     drop_later(wire);
   else
     wire.rest();
@@ -341,12 +344,22 @@
 // Not from within what may be called by the connection itself.
 void Link::drop_later(Wire& wire) {
   later([this, gone = &wire] {
-    const auto w = std::find_if(wires_.begin(), wires_.end(), [&](auto& x) { return x.get() == gone; });
-    if (w != wires_.end() && (((*w)->retired && (*w)->out.empty()) || (*w)->unsent() > 0))
-      drop(**w, Outcome::kReset, "it took no bytes");
+    const auto it = std::find_if(wires_.begin(), wires_.end(), [&](auto& w) { return w.get() == gone; });
+    if (it == wires_.end()) return;
+    const Wire& found = **it;
+    const bool done = found.retired && found.out.empty();
+    if (done) return drop(**it, Outcome::kReset, "retired");
+    if (found.ending || found.unsent() > 0) drop(**it, Outcome::kReset, "it took no bytes");
   });
 }
 
+// Also if the machine takes the bytes before the next turn: nothing else tells the worker that a call among
+// them is given up, and the call's next attempt may be under way.
+void Link::end_later(Wire& wire) {
+  wire.ending = wire.retired = true;
+  drop_later(wire);
+}
+
 void Link::release(const std::string& function) {
   const auto id = parse_id(function);
   if (!id) return;
@@ -504,6 +517,12 @@
   if (!broken_.empty()) verdict_->start(options_.verdict - (now - broken_.front().at));
 }
 
+std::size_t Link::unsent() const {
+  std::size_t bytes = 0;
+  for (const auto& wire : wires_) bytes += wire->unsent();
+  return bytes;
+}
+
 Duration Link::rest() const {
   if (rest_ == Duration(0)) return options_.idle;
   const double seconds = std::chrono::duration<double>(host_.now() - rest_learnt_).count();
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -84,7 +84,8 @@
   bool idle() const override { return asked_.empty() && later_.empty(); }
 
   std::size_t connections() const { return wires_.size(); }
-  Duration rest() const;  // for which a connection is idle and still trusted
+  std::size_t unsent() const;  // bytes that the machine has not taken yet
+  Duration rest() const;       // for which a connection is idle and still trusted
 
  private:
   enum class Kind : std::uint8_t { kCall, kHold, kProbe };
@@ -109,6 +110,7 @@
             std::optional<std::uint64_t> spoilt = {});
   bool give_up(const Key& key, bool unanswered);
   void drop_later(Wire& wire);
+  void end_later(Wire& wire);
   void broke(Wire& wire, const std::string& why);
   void learn_rest(Duration rested);
   void outlived(Duration rested);
--- a/tests/node/crossings_test.cpp
+++ b/tests/node/crossings_test.cpp
@@ -547,6 +547,37 @@
   EXPECT_EQ(ends[kCalls], std::vector<Outcome>{Outcome::kReset});
 }
 
+// As few bytes held back as can be: they go at the next turn of the loop when the invoker reads.
+struct BarelyQueuedLink : QueuedLink {
+  std::uint64_t calls = 0;
+  void call() {
+    worker::Call call;
+    call.name = platform::id_text(++calls), call.function = platform::id_text(7), call.request_class = "read";
+    link.call(std::move(call), std::string(16 << 10, 'x'), calls);
+  }
+  void SetUp() override {
+    call();
+    ASSERT_TRUE(run_until([&] { return peer = invoker.take(), peer.stands(); }));
+    ASSERT_TRUE(run_until([&] { return !peer.read().empty(); }));
+    while (link.unsent() == 0 && calls < 4 * kCalls) call();
+    ASSERT_GT(link.unsent(), 0U);
+  }
+};
+
+// The machine takes what was held back between the cancel and the loop's next turn: the invoker is told all
+// the same, by a give-up or by the end of the connection, since the call's next attempt may be under way.
+TEST_F(BarelyQueuedLink, ACancelIsToldThoughItsBytesAreTakenJustThen) {
+  link.cancel(1);
+  peer.read();
+  ASSERT_TRUE(run_until([&] { return ends[1].size() == 1; }));
+  EXPECT_EQ(ends[1], std::vector<Outcome>{Outcome::kCancelled});
+  const auto told = [&] {
+    const std::vector<int> codes = Crossing::frames(peer.read());
+    return peer.ended() || peer.error() != 0 || std::find(codes.begin(), codes.end(), 66) != codes.end();
+  };
+  EXPECT_TRUE(::laureltide::tests::run_until(loop, told, 2s));
+}
+
 TEST_F(QueuedLink, LeavesWhenTheInvokerReads) { EXPECT_EQ(read_all().size(), kCalls); }
 
 TEST_F(QueuedLink, ACallThatNobodyWantsNeverLeaves) {
