The answer to a question about copies is not taken for that of an order

An order to load and a question (an order for no copies) can be out at one worker for one function at once; the module matched both by worker and function. The question's answer ended the order: calls that waited for the load went out at once and missed, further orders could be made, and the order's own refusal for lack of room was read as a drain, which ends the worker's lease in an outage of discovery.

Repair: HoldResult says how many copies the order was for; the core knows.

Evidence: Failure.TheAnswerToAQuestionIsNotTakenForThatOfAnOrder fails without the change (the waiting call is sent while its load is under way) and passes with it; 59 tests of the module pass.

--- a/include/laureltide/dispatcher.h
+++ b/include/laureltide/dispatcher.h
@@ -195,6 +195,9 @@
   Outcome outcome = Outcome::kOk;
   Duration took{};
   int instances = 0;  // that stand loaded, as the worker said
+  // That the order was for, 0 for a question; absent where the caller cannot tell which of several is
+  // answered.
+  std::optional<int> asked = {};
 };
 
 struct ProbeResult {
--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -414,7 +414,7 @@
 
 void Core::hold(WorkerId worker, FunctionId function, int instances) {
   const std::uint64_t word = next_order_++;
-  orders_[word] = {worker, function, host_.now(), false};
+  orders_[word] = {worker, function, host_.now(), false, instances};
   ++counters_.holds;
   const std::string* name = name_of(function);
   worker::Port* to = name ? link(worker) : nullptr;
@@ -429,8 +429,9 @@
 void Core::on_hold_end(WorkerId, std::uint64_t word, Outcome outcome, int instances) {
   const auto it = orders_.find(word);
   if (it == orders_.end() || it->second.probe) return;
-  const HoldResult result{it->second.worker, it->second.function, outcome, host_.now() - it->second.sent,
-                          instances};
+  const Order& order = it->second;
+  const HoldResult result{order.worker, order.function, outcome, host_.now() - order.sent,
+                          instances,    order.instances};
   orders_.erase(it);
   feed([this, result](Time now) { module_->on(now, result); });
 }
@@ -443,7 +444,7 @@
 
 void Core::probe(WorkerId worker) {
   const std::uint64_t word = next_order_++;
-  orders_[word] = {worker, {}, host_.now(), true};
+  orders_[word] = {worker, {}, host_.now(), true, 0};
   ++counters_.probes;
   worker::Port* to = link(worker);
   if (!to) {
--- a/src/controller/core.h
+++ b/src/controller/core.h
@@ -179,6 +179,7 @@
     FunctionId function{};
     Time sent{};
     bool probe = false;
+    int instances = 0;  // asked for; 0: a question
   };
   enum class Due : std::uint8_t { kModule, kDeadline, kAttempt, kOrder };
   struct Alarm {
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -633,8 +633,9 @@
     if (w == workers.end() || fit == functions.end()) return;
     Function& f = fit->second;
     Pair& pair = f.pairs[result.worker];
-    // An order for no copies is a question, and such a refusal can only mean a drain.
-    const bool question = std::exchange(pair.ordered, 0) == 0;
+    // An order for no copies is a question, and a refusal of one can only mean a drain.
+    const bool question = result.asked.value_or(pair.ordered) == 0;
+    if (!question) pair.ordered = 0;
     if (question && result.outcome == Outcome::kFull) leases.refused(result.worker, now - result.took, now);
     // What stands there is not known by it: the worker is asked.
     if (result.outcome == Outcome::kConnectFailed || result.outcome == Outcome::kReset)
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -97,7 +97,8 @@
   }
   void serve(const Action& sent, Found found = Found::kLoaded) { answer(sent, Outcome::kOk, true, found); }
   void held(const Action& order, Outcome outcome = Outcome::kOk, int instances = 1) {
-    dispatcher.on(now, HoldResult{order.worker, order.function, outcome, now - order.at, instances});
+    dispatcher.on(now, HoldResult{order.worker, order.function, outcome, now - order.at, instances,
+                                  static_cast<int>(order.count)});
   }
 
   // Moves the clock; timers fire in order on the way.
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -309,6 +309,30 @@
   EXPECT_TRUE(b.lines.empty());
 }
 
+// Both are out at once, for the same copy: a question's answer says nothing of the order's end.
+TEST(Failure, TheAnswerToAQuestionIsNotTakenForThatOfAnOrder) {
+  Settings settings = plain_settings();
+  settings.instances.on_miss = MissMode::kMiss;
+  Bench b(settings);
+  b.list(fleet(1));
+  const RequestId waiting = b.ask(kRepeatable, 1);
+  b.answer(b.sends_of(waiting)[0], Outcome::kMiss);
+  const auto order = b.all(Did::kHold).at(0);
+  ASSERT_GT(order.count, 0);
+  const RequestId other = b.ask(kRepeatable, 2);
+  b.answer(b.sends_of(other)[0], Outcome::kReset);
+  b.advance(100ms);
+  const auto question = b.all(Did::kHold).back();
+  ASSERT_EQ(question.count, 0);
+  ASSERT_EQ(question.function, order.function);
+  b.held(question, Outcome::kOk, 0);
+  b.advance(100ms);
+  EXPECT_EQ(b.sends_of(waiting).size(), 1U);
+  b.held(order, Outcome::kOk, 1);
+  b.advance(100ms);
+  EXPECT_EQ(b.sends_of(waiting).size(), 2U);
+}
+
 TEST(Failure, ASilentWorkerIsLeftAndItsRepeatableRequestsMove) {
   Bench b;
   b.list(fleet(4));
