Worker protocol: what waited for a hello leaves only if it still may; probes are forgotten

Related code with the mistake of the late dial: worker::Link of 'laureltide serve' wrote all that waited for the worker's hello when it came, up to the dial's time after it was decided, and asked nothing: neither whether something new may begin at the worker nor whether the call may still leave. Now it asks both, as platform::Link does.

Found beside it: forget_hold, which a probe's time-out calls too, did not know probes. Such a probe kept the link from being idle, and so from being let go, until its connection ended.

--- a/src/worker/link.cpp
+++ b/src/worker/link.cpp
@@ -129,10 +129,22 @@
 }
 
 void Link::withdraw_waiting() {
-  for (Waiting& w : std::exchange(waiting_, {})) {
-    const Outcome outcome = std::holds_alternative<Call>(w.message) ? Outcome::kMoot : Outcome::kFull;
-    later([this, m = std::move(w.message), cookie = w.cookie, outcome] { end_waiting(m, cookie, outcome); });
-  }
+  for (Waiting& w : std::exchange(waiting_, {}))
+    later([this, m = std::move(w.message), cookie = w.cookie] { end_unsent(m, cookie); });
+}
+
+// What waited for the connection was decided a while ago.
+bool Link::may_leave(const Waiting& waiting) {
+  if (std::holds_alternative<Probe>(waiting.message)) return true;
+  const auto* hold = std::get_if<Hold>(&waiting.message);
+  if (hold && hold->instances == 0) return true;  // a question is nothing new
+  if (!events_.may_begin(worker_)) return false;
+  return hold || events_.may_leave(worker_, waiting.cookie);
+}
+
+// Nothing of it left, and nothing will.
+void Link::end_unsent(const Message& message, std::uint64_t cookie) {
+  end_waiting(message, cookie, std::holds_alternative<Call>(message) ? Outcome::kMoot : Outcome::kFull);
 }
 
 bool Link::forget_waiting(std::uint64_t cookie) {
@@ -152,9 +164,10 @@
 
 void Link::forget_hold(std::uint64_t cookie) {
   std::erase_if(waiting_, [&](const Waiting& w) {
-    return w.cookie == cookie && std::holds_alternative<Hold>(w.message);
+    return w.cookie == cookie && !std::holds_alternative<Call>(w.message);
   });
   std::erase_if(holds_, [&](const auto& h) { return h.second == cookie; });
+  std::erase_if(probes_, [&](const auto& p) { return p.second == cookie; });
 }
 
 void Link::release(const std::string& function) {
@@ -221,6 +234,10 @@
     dialing_->stop();
     peer_max_frame_ = std::max(hello->max_frame, kHelloMaxFrame);
     for (Waiting& w : std::exchange(waiting_, {})) {
+      if (!may_leave(w)) {
+        later([this, m = std::move(w.message), cookie = w.cookie] { end_unsent(m, cookie); });
+        continue;
+      }
       const auto* call = std::get_if<Call>(&w.message);
       put(w.message, call ? std::string_view(call->body) : std::string_view{}, w.cookie);
     }
