Gateway: a keyed repeat that waited for the ledger's disk leaves only in its window

Evidence: Restart.ARepeatThatWaitedForTheDiskPastItsWindowNeverLeaves, a disk of 200 ms and a window of 500 ms: without the condition the repeat reaches the second worker (2 arrivals), with it none does.

--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -271,7 +271,8 @@
     const bool stale = now - attempt.sent > std::min(rules.drain_grace, rules.overload_for) / 2;
     CallEnd end;
     end.outcome = open.answered || now >= open.deadline ? Outcome::kMoot : Outcome::kFull;
-    if (end.outcome == Outcome::kMoot || !ready || stale) return end_attempt(word, end);
+    const bool may_leave = module_->may_leave(now, RequestId{id}, static_cast<AttemptNumber>(number));
+    if (end.outcome == Outcome::kMoot || !ready || stale || !may_leave) return end_attempt(word, end);
     attempt.waits = false;
   }
   worker::Port* to = link(attempt.worker);
--- a/tests/ledger/restart_test.cpp
+++ b/tests/ledger/restart_test.cpp
@@ -371,6 +371,33 @@
   EXPECT_EQ(town.outcome(name), "refused");
 }
 
+// A keyed call's repeat is decided within the time in which workers drop repeats; its record is on disk
+// after.
+TEST(Restart, ARepeatThatWaitedForTheDiskPastItsWindowNeverLeaves) {
+  std::string text = settings_text(text_of(Mode::kTransaction), "[ledger]\ndirectory = \"x\"\n");
+  const std::string window = "repeat_window_ms = 2000";
+  text.replace(text.find(window), window.size(), "repeat_window_ms = 500");
+  const std::string group = "repeats_dropped_by = \"cell\"";
+  text.replace(text.find(group), group.size(), "repeats_dropped_by = \"all\"");
+  Town town(2, 1, std::make_shared<const config::Settings>(*config::parse(text, "t").settings));
+  town.with_ledger = true;
+  town.start();
+  // Connections to both workers stand.
+  for (const std::uint32_t full : {2U, 1U}) {
+    town.worker(full).set_full(true);
+    ASSERT_TRUE(town.wait_answer(town.call(full == 1 ? "echo" : "status")));
+    town.worker(full).set_full(false);
+  }
+  for (const std::uint32_t worker : {1U, 2U}) town.worker(worker).fail_class("update", true);
+  town.disk.least_delay = 200ms, town.disk.most_delay = 210ms;
+  const std::string name = town.call("status");
+  ASSERT_TRUE(town.wait_answer(name));
+  EXPECT_EQ(town.outcome(name), "refused");  // its repeats are dropped everywhere
+  EXPECT_EQ(town.tape.count("call", name), 1U);
+  ASSERT_FALSE(town.log.calls.empty());
+  EXPECT_EQ(town.log.calls.back().attempts, "w1:error,w2:full");  // a repeat was decided, and held back
+}
+
 TEST(Restart, OwedAnswersWaitForTheBroker) {
   LedgerTown town(Mode::kTake);
   town.start();
