--- a/tests/apps/call_run_twice_test.cpp
+++ b/tests/apps/call_run_twice_test.cpp
@@ -160,6 +160,10 @@
     ::laureltide::tests::run_for(loop, 25ms);
   }
   judge(0.9);
+  // The log says over which connections the attempts went.
+  EXPECT_NE(logs().find("repeat: call 0000000000001004 class release end So attempts w1/c"),
+            std::string::npos)
+      << logs();
 }
 
 INSTANTIATE_TEST_SUITE_P(Node, CopiedRefusal, testing::Values(kMiss, kFull, kOver), [](const auto& info) {
