Review case 3: an answer holds pieces of an attempt whose worker died

Cause: Core keeps the pieces of all attempts of a call in one text and does not clear it when an attempt ends without success, so the answer of the next attempt comes behind them.

--- a/review/peers/peers.cpp
+++ b/review/peers/peers.cpp
@@ -2,9 +2,10 @@
 // they send and get, and a worker whose results come in pieces. All of them speak the project's own codecs,
 // so that they follow its pages.
 //
-//   review-peers amqp --broker PORT --record FILE --for SECONDS      plan on standard input
+//   review-peers amqp --broker PORT --record FILE --for SECONDS [--result-kb N]      plan on standard input
 //   review-peers http --gateway PORT --token TOKEN --record FILE --for SECONDS [--read-kb-per-s N]
 //   review-peers worker --id N --port PORT --record FILE [--work-ms N] [--pieces N] [--result-kb N]
+//                       [--load-on-miss 1]
 //
 // A line of the plan: AT_MS NAME FUNCTION PATIENCE_MS. The record gets lines of JSON; `t` is the machine's
 // steady clock in ns.
@@ -69,6 +70,14 @@
   lt::standin::CallerOptions to;
   to.broker = {"127.0.0.1", static_cast<std::uint16_t>(number(options, "broker", 0))};
   lt::standin::Caller caller(loop, to, record);
+  const auto result_bytes = static_cast<std::size_t>(1024 * number(options, "result-kb", 0));
+  if (result_bytes > 0)  // the workers are those of this program
+    caller.on_answer = [&](const std::string& call, const lt::standin::Caller::Answered& answer) {
+      if (answer.outcome != "served") return;
+      const std::string expected = result_of("body of " + call, result_bytes);
+      record.note(loop.now(), answer.body == expected ? "right_result" : "wrong_result",
+                  {{"call", call}, {"bytes", answer.body.size()}, {"expected_bytes", expected.size()}});
+    };
   const std::vector<Planned> plan = read_plan();
   std::vector<std::unique_ptr<lt::io::Timer>> timers;
   std::unique_ptr<lt::io::Timer> begin;
@@ -209,6 +218,7 @@
         work_(std::chrono::milliseconds(static_cast<int>(number(options, "work-ms", 100)))),
         pieces_(static_cast<std::size_t>(number(options, "pieces", 1))),
         result_bytes_(static_cast<std::size_t>(1024 * number(options, "result-kb", 0.1))),
+        load_on_miss_(number(options, "load-on-miss", 0) != 0),
         started_(loop.unix_ms()) {
     const lt::io::Address at{"127.0.0.1", static_cast<std::uint16_t>(number(options, "port", 0))};
     lt::io::StreamOptions stream;
@@ -254,6 +264,7 @@
   void on_call(lt::worker::Session& session, const lt::worker::Call& call) {
     record_.note(loop_.now(), "call",
                  {{"worker", id_}, {"call", call.name}, {"function", call.function}, {"body", call.body}});
+    if (load_on_miss_) held_.insert(call.function);
     if (!held_.contains(call.function)) {
       lt::worker::Answer miss;
       miss.id = call.id, miss.kind = lt::worker::AnswerKind::kMiss, miss.report = report();
@@ -291,6 +302,7 @@
   std::uint32_t id_;
   lt::Duration work_;
   std::size_t pieces_, result_bytes_;
+  bool load_on_miss_;
   std::int64_t started_;
   std::unique_ptr<lt::io::Listener> listener_;
   std::vector<std::unique_ptr<lt::worker::Session>> sessions_;
