--- a/review/peers/peers.cpp
+++ b/review/peers/peers.cpp
@@ -7,8 +7,8 @@
 //   review-peers worker --id N --port PORT --record FILE [--work-ms N] [--pieces N] [--result-kb N]
 //                       [--load-on-miss 1]
 //
-// A line of the plan: AT_MS NAME FUNCTION PATIENCE_MS. The record gets lines of JSON; `t` is the machine's
-// steady clock in ns.
+// A line of the plan: AT_MS NAME FUNCTION PATIENCE_MS (0: none is said). The record gets lines of JSON; `t`
+// is the machine's steady clock in ns.
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
@@ -86,7 +86,9 @@
     std::cout << "ready" << std::endl;
     for (const Planned& p : plan) {
       timers.push_back(loop.timer([&, p] {
-        caller.call({p.name, p.function, {}, {}, {}, "body of " + p.name, p.patience_ms, true});
+        lt::standin::CallToMake call{p.name, p.function, {}, {}, {}, "body of " + p.name, {}, true};
+        if (p.patience_ms > 0) call.patience_ms = p.patience_ms;
+        caller.call(call);
       }));
       timers.back()->start(std::chrono::milliseconds(p.at_ms));
     }
