--- a/review/common.sh
+++ b/review/common.sh
@@ -1,8 +1,8 @@
 # What the scripts of the cases share: processes that end with the script, and ports that the system gives.
-# To be sourced; the case's folder is $here.
+# To be sourced; the case's folder is $here, and $trouble
+# is 0 if the disruption is left out.
 set -uo pipefail
 root=$(cd "$here/../.." && pwd)
-trouble=${TROUBLE:-1}
 temp=$(mktemp -d)
 pids=()
 record=$here/record.txt
