--- a/review/peers-2/peer.cpp
+++ b/review/peers-2/peer.cpp
@@ -87,8 +87,9 @@
   return fd;
 }
 
-int connect_to(std::uint16_t port) {
+int connect_to(std::uint16_t port, int receive_buffer = 0) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (receive_buffer > 0) setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
   sockaddr_in to{};
   to.sin_family = AF_INET;
   to.sin_port = htons(port);
@@ -466,23 +467,32 @@
 // ---- The HTTP client ------------------------------------------------------------------------------------
 
 // One request on a connection of its own. Prints and notes the status, the headers and the body; with
-// --within-ms it hangs up after that time. Exit 0 with an answer, 3 without.
+// --within-ms it hangs up after that time, with --kb-per-s it reads no faster than that, as over a slower
+// network. --body-kb sends a body of that many KiB. Exit 0 with an answer, 3 without, 4 with one that ends
+// before its Content-Length.
 int http(const Options& o) {
   const std::string label = o.text("--label", "request");
-  const std::string body = o.text("--body"), method = o.text("--method", "POST");
+  const std::string method = o.text("--method", "POST");
+  std::string body = o.text("--body");
+  for (long i = 0; i < o.number("--body-kb"); ++i) {
+    std::string line = label + "-" + std::to_string(i) + "-";
+    line.resize(1023, '.');
+    body += line + "\n";
+  }
   std::string head =
       method + " " + o.text("--path", "/") + " HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n";
   if (o.given.contains("--token")) head += "Authorization: Bearer " + o.text("--token") + "\r\n";
   for (const std::string& h : o.all("--header")) head += h + "\r\n";
   if (method == "POST") head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-  const int fd = connect_to(static_cast<std::uint16_t>(o.number("--port")));
+  const long kb_per_s = o.number("--kb-per-s");
+  const int fd = connect_to(static_cast<std::uint16_t>(o.number("--port")), kb_per_s > 0 ? 128 << 10 : 0);
   if (fd < 0) {
     note("no-connection label=" + label);
     std::printf("status=none\n");
     return 3;
   }
   note("sent label=" + label + " method=" + method + " path=" + shown(o.text("--path")) +
-       " body=" + shown(body));
+       " body=" + shown(body, 40) + " bytes=" + std::to_string(body.size()));
   send_all(fd, head + "\r\n" + body);
   const auto end =
       std::chrono::steady_clock::now() + std::chrono::milliseconds(o.number("--within-ms", 30000));
@@ -496,6 +506,8 @@
     const ssize_t n = recv(fd, buffer, sizeof buffer, 0);
     if (n <= 0) break;
     all.append(buffer, static_cast<std::size_t>(n));
+    if (kb_per_s > 0)
+      std::this_thread::sleep_for(std::chrono::microseconds(n * 1'000'000 / (kb_per_s * 1024)));
   }
   close(fd);
   const std::size_t split = all.find("\r\n\r\n");
@@ -506,16 +518,20 @@
   }
   const std::string status = all.substr(9, 3);
   std::string outcome, location;
+  std::size_t length = 0;
   std::istringstream lines(all.substr(0, split));
   for (std::string line; std::getline(lines, line);) {
     if (line.rfind("Call-Outcome: ", 0) == 0) outcome = line.substr(14, line.find('\r') - 14);
+    if (line.rfind("Content-Length: ", 0) == 0) length = std::stoul(line.substr(16));
     if (line.rfind("Location: ", 0) == 0) location = line.substr(10, line.find('\r') - 10);
   }
+  const std::string got = all.substr(split + 4);
   note("answer label=" + label + " status=" + status + " outcome=" + shown(outcome) +
-       " location=" + shown(location) + " body=" + shown(all.substr(split + 4)));
-  std::printf("status=%s outcome=%s location=%s\n", status.c_str(), shown(outcome).c_str(),
-              shown(location).c_str());
-  return 0;
+       " location=" + shown(location) + " length=" + std::to_string(length) +
+       " got=" + std::to_string(got.size()) + " body=" + shown(got, 160));
+  std::printf("status=%s outcome=%s location=%s length=%zu got=%zu\n", status.c_str(), shown(outcome).c_str(),
+              shown(location).c_str(), length, got.size());
+  return got.size() < length ? 4 : 0;
 }
 
 // ---- The proxy ------------------------------------------------------------------------------------------
