--- a/review/peers-2/peer.cpp
+++ b/review/peers-2/peer.cpp
@@ -24,6 +24,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace {
@@ -498,6 +499,7 @@
       std::chrono::steady_clock::now() + std::chrono::milliseconds(o.number("--within-ms", 30000));
   Bytes all;
   char buffer[4096];
+  long pause_ms = o.number("--pause-ms");  // once, behind the first bytes of the answer
   while (true) {
     const auto left =
         std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now()).count();
@@ -506,6 +508,7 @@
     const ssize_t n = recv(fd, buffer, sizeof buffer, 0);
     if (n <= 0) break;
     all.append(buffer, static_cast<std::size_t>(n));
+    std::this_thread::sleep_for(std::chrono::milliseconds(std::exchange(pause_ms, 0)));
     if (kb_per_s > 0)
       std::this_thread::sleep_for(std::chrono::microseconds(n * 1'000'000 / (kb_per_s * 1024)));
   }
