--- a/review/peers-2/peer.cpp
+++ b/review/peers-2/peer.cpp
@@ -381,7 +381,12 @@
     frame(1, channel, p + fields);
   }
   void publish(const std::string& name, const std::string& function, const std::string& expiration,
-               const std::string& body, const std::string& correlation) {
+               const std::string& given, const std::string& correlation) {
+    std::string body = given;
+    if (given.starts_with("@")) {
+      body = name + ":";
+      body.resize(std::stoul(given.substr(1)) * 1024, '.');
+    }
     Bytes m;
     put(m, 0, 2), put_short(m, ""), put_short(m, o_.text("--queue", "calls")), put(m, 0, 1);
     method(1, 60, 40, m);
@@ -395,7 +400,7 @@
     note("sent call=" + shown(name) + " correlation=" + shown(correlation) + " function=" + shown(function) +
          " patience_ms=" + expiration + " body=" + shown(body));
     frame(2, 1, h);
-    if (!body.empty()) frame(3, 1, body);
+    for (std::size_t at = 0; at < body.size(); at += 100'000) frame(3, 1, body.substr(at, 100'000));
   }
   bool read_frame() {
     Bytes head, payload;
@@ -469,8 +474,8 @@
 
 // One request on a connection of its own. Prints and notes the status, the headers and the body; with
 // --within-ms it hangs up after that time, with --kb-per-s it reads no faster than that, as over a slower
-// network. --body-kb sends a body of that many KiB. Exit 0 with an answer, 3 without, 4 with one that ends
-// before its Content-Length.
+// network. --body-kb sends a body of that many KiB, --body-to keeps the answer's. Exit 0 with an answer, 3
+// without, 4 with one that ends before its Content-Length.
 int http(const Options& o) {
   const std::string label = o.text("--label", "request");
   const std::string method = o.text("--method", "POST");
@@ -529,6 +534,10 @@
     if (line.rfind("Location: ", 0) == 0) location = line.substr(10, line.find('\r') - 10);
   }
   const std::string got = all.substr(split + 4);
+  if (FILE* to = o.given.contains("--body-to") ? std::fopen(o.text("--body-to").c_str(), "w") : nullptr) {
+    std::fwrite(got.data(), 1, got.size(), to);
+    std::fclose(to);
+  }
   note("answer label=" + label + " status=" + status + " outcome=" + shown(outcome) +
        " location=" + shown(location) + " length=" + std::to_string(length) +
        " got=" + std::to_string(got.size()) + " body=" + shown(got, 160));
@@ -539,15 +548,19 @@
 
 // ---- The proxy ------------------------------------------------------------------------------------------
 
-// Passes bytes on between its clients and --to. SIGUSR1 resets all open connections, on both sides.
+// Passes bytes on between its clients and --to, those towards --to at no more than --up-kb-per-s. SIGUSR1
+// breaks all open connections, on both sides; what has not been passed on by then is lost.
 std::mutex proxy_mutex;
 std::set<std::pair<int, int>> proxy_pairs;
 
-void pass_on(int from, int to) {
-  char buffer[65536];
+// `kb_per_s`, if over 0, is how fast bytes are taken from `from`.
+void pass_on(int from, int to, long kb_per_s) {
+  char buffer[16384];
   while (true) {
     const ssize_t n = recv(from, buffer, sizeof buffer, 0);
     if (n <= 0 || !send_all(to, Bytes(buffer, static_cast<std::size_t>(n)))) break;
+    if (kb_per_s > 0)
+      std::this_thread::sleep_for(std::chrono::microseconds(n * 1'000'000 / (kb_per_s * 1024)));
   }
   shutdown(from, SHUT_RDWR), shutdown(to, SHUT_RDWR);
 }
@@ -589,9 +602,9 @@
       const std::lock_guard lock(proxy_mutex);
       proxy_pairs.emplace(client, server);
     }
-    std::thread([client, server] {
-      std::thread back([client, server] { pass_on(server, client); });
-      pass_on(client, server);
+    std::thread([client, server, up = o.number("--up-kb-per-s")] {
+      std::thread back([client, server] { pass_on(server, client, 0); });
+      pass_on(client, server, up);
       back.join();
       const std::lock_guard lock(proxy_mutex);
       proxy_pairs.erase({client, server});
