--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -23,6 +23,7 @@
   [[ -n ${KEEP:-} ]] && echo "kept: $T" || rm -rf "$T"
 }
 trap finish EXIT
+trap 'exit 2' TERM INT
 cannot() {
   say "cannot run: $*"
   echo "cannot run: $*" >&2
