--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -10,15 +10,17 @@
 declare -A PID=()
 
 say() { echo "$(date +%s%3N) $*" >>"$RECORD"; }
+# Ends what still is a child of this script, by its id; an id that was waited for is not used again.
 finish() {
-  for name in "${!PID[@]}"; do kill -CONT "${PID[$name]}" 2>/dev/null; kill -TERM "${PID[$name]}" 2>/dev/null; done
+  trap '' TERM INT
+  local pid left
+  for pid in $(jobs -p); do kill -TERM "$pid" 2>/dev/null; done
   for _ in $(seq 30); do
-    local left=0
-    for name in "${!PID[@]}"; do kill -0 "${PID[$name]}" 2>/dev/null && left=1; done
-    [[ $left -eq 0 ]] && break
+    left=$(jobs -pr)
+    [[ -z $left ]] && break
     sleep 0.1
   done
-  for name in "${!PID[@]}"; do kill -KILL "${PID[$name]}" 2>/dev/null; done
+  for pid in $(jobs -pr); do kill -KILL "$pid" 2>/dev/null; done
   wait 2>/dev/null
   [[ -n ${KEEP:-} ]] && echo "kept: $T" || rm -rf "$T"
 }
