node: log the longest turn of the event loop and the sizes of the tables that clients fill

The evidence of the flood incident cannot tell whether a late answer came from a long turn of the event loop or from a process that did not run, nor which tables grew. The loop measures its turns (net::TurnClock), the module tells its table sizes, and the stats line gains longest_turn_ms, functions, placements, ended_ids, client_unsent and open_body_bytes.

--- a/include/laureltide/dispatcher.h
+++ b/include/laureltide/dispatcher.h
@@ -272,6 +272,11 @@
   std::uint64_t asked = 0, ready = 0, refused = 0, unanswered = 0;
 };
 
+// Sizes of the tables that requests and workers fill, for logs and tests.
+struct TableSizes {
+  std::size_t functions = 0, placements = 0, open_requests = 0, workers = 0, counted_arrivals = 0;
+};
+
 // ---- The dispatcher -------------------------------------------------------------------------------
 
 class Dispatcher {
@@ -302,6 +307,7 @@
   // Whether the worker list is recent enough that workers need no leases.
   bool list_is_valid(Time now) const;
   const LeaseCounters& lease_counters() const;
+  TableSizes table_sizes() const;
 
  private:
   struct State;
--- a/src/base/io.h
+++ b/src/base/io.h
@@ -95,6 +95,9 @@
   // Wall clock, for times exchanged with other machines and for logs. May jump: never used for durations.
   virtual std::int64_t unix_ms() const = 0;
   virtual std::uint64_t random() = 0;
+  // The longest time, since the last call of this function, for which timers and input had to wait because
+  // callbacks ran. Zero where that takes no time.
+  virtual Duration take_longest_turn() { return {}; }
   virtual std::unique_ptr<Timer> timer(std::function<void()> fired) = 0;
   // `events` must live as long as the connection. Failure comes as on_closed, never from within the call.
   virtual std::unique_ptr<Connection> connect(const Address& to, const StreamOptions& options,
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -1245,5 +1245,14 @@
 }
 bool Dispatcher::list_is_valid(Time now) const { return state_->leases.list_is_valid(now); }
 const LeaseCounters& Dispatcher::lease_counters() const { return state_->leases.counters(); }
+TableSizes Dispatcher::table_sizes() const {
+  TableSizes sizes;
+  sizes.functions = state_->functions.size();
+  for (const auto& [id, function] : state_->functions) sizes.placements += function.placements.size();
+  sizes.open_requests = state_->open_requests.size();
+  sizes.workers = state_->workers.size();
+  sizes.counted_arrivals = state_->arrival_times.size();
+  return sizes;
+}
 
 }  // namespace laureltide
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -20,6 +20,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "net/turn_clock.h"
+
 namespace laureltide::net {
 namespace {
 
@@ -45,6 +47,12 @@
   return {static_cast<time_t>(us.count() / 1'000'000), static_cast<suseconds_t>(us.count() % 1'000'000)};
 }
 
+Time steady_now() {
+  timespec ts{};
+  clock_gettime(CLOCK_MONOTONIC, &ts);
+  return Time(std::chrono::seconds(ts.tv_sec) + std::chrono::nanoseconds(ts.tv_nsec));
+}
+
 bool is_loopback(const io::Address& a) { return a.host.starts_with("127."); }
 
 std::optional<sockaddr_in> to_sockaddr(const io::Address& a) {
@@ -57,11 +65,14 @@
 
 class LoopTimer : public io::Timer {
  public:
-  LoopTimer(event_base* base, std::function<void()> fired) : fired_(std::move(fired)) {
+  LoopTimer(event_base* base, TurnClock& turns, std::function<void()> fired)
+      : turns_(turns), fired_(std::move(fired)) {
     event_.reset(event_new(
         base, -1, 0,
-        [](evutil_socket_t, short, void* self) {
-          auto fired = static_cast<LoopTimer*>(self)->fired_;  // a copy: the callback may destroy the timer
+        [](evutil_socket_t, short, void* raw) {
+          auto& self = *static_cast<LoopTimer*>(raw);
+          self.turns_.on_callback(steady_now());
+          auto fired = self.fired_;  // a copy: the callback may destroy the timer
           fired();
         },
         this));
@@ -73,6 +84,7 @@
   void stop() override { event_del(event_.get()); }
 
  private:
+  TurnClock& turns_;
   std::function<void()> fired_;
   EventPtr event_;
 };
@@ -148,8 +160,9 @@
 
 class Stream : public io::Connection {
  public:
-  Stream(event_base* base, evutil_socket_t fd, const io::StreamOptions& options, Lingering::All& lingering)
-      : lingering_(lingering) {
+  Stream(event_base* base, evutil_socket_t fd, const io::StreamOptions& options, Lingering::All& lingering,
+         TurnClock& turns)
+      : lingering_(lingering), turns_(turns) {
     stream_.reset(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
     bufferevent_setcb(stream_.get(), on_read, on_write, on_event, this);
     bufferevent_setwatermark(stream_.get(), EV_READ, 0, options.read_ahead);
@@ -219,6 +232,7 @@
         base, -1, 0,
         [](evutil_socket_t, short, void* raw) {
           auto& self = *static_cast<Stream*>(raw);
+          self.turns_.on_callback(steady_now());
           if (!self.closed_) self.deferred_(self);
         },
         this));
@@ -232,6 +246,7 @@
   }
   static void on_read(bufferevent* b, void* raw) {
     auto& self = *static_cast<Stream*>(raw);
+    self.turns_.on_callback(steady_now());
     if (self.closed_ || !(bufferevent_get_enabled(b) & EV_READ)) return;
     evbuffer* in = bufferevent_get_input(b);
     const std::size_t size = evbuffer_get_length(in);
@@ -243,11 +258,13 @@
   }
   static void on_write(bufferevent*, void* raw) {
     auto& self = *static_cast<Stream*>(raw);
+    self.turns_.on_callback(steady_now());
     if (!self.closed_ && self.open_ && std::exchange(self.above_watermark_, false))
       self.events_->on_drained();
   }
   static void on_event(bufferevent* b, short what, void* raw) {
     auto& self = *static_cast<Stream*>(raw);
+    self.turns_.on_callback(steady_now());
     if (self.closed_) return;
     if (what & BEV_EVENT_CONNECTED) {
       set_no_delay(bufferevent_getfd(b));
@@ -265,6 +282,7 @@
   }
 
   Lingering::All& lingering_;
+  TurnClock& turns_;
   BufferEventPtr stream_;
   EventPtr deferred_event_;
   void (*deferred_)(Stream&) = nullptr;
@@ -276,8 +294,13 @@
 class LoopListener : public io::Listener {
  public:
   LoopListener(event_base* base, const sockaddr_in& at, const io::StreamOptions& options,
-               io::Host::Accept accept, Lingering::All& lingering, std::uint64_t& failed)
-      : base_(base), options_(options), accept_(std::move(accept)), lingering_(lingering), failed_(failed) {
+               io::Host::Accept accept, Lingering::All& lingering, TurnClock& turns, std::uint64_t& failed)
+      : base_(base),
+        options_(options),
+        accept_(std::move(accept)),
+        lingering_(lingering),
+        turns_(turns),
+        failed_(failed) {
     listener_.reset(evconnlistener_new_bind(base, accepted, this,
                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
                                             1024, reinterpret_cast<const sockaddr*>(&at), sizeof at));
@@ -323,7 +346,8 @@
   }
   static void accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* raw) {
     auto& self = *static_cast<LoopListener*>(raw);
-    auto stream = std::make_unique<Stream>(self.base_, fd, self.options_, self.lingering_);
+    self.turns_.on_callback(steady_now());
+    auto stream = std::make_unique<Stream>(self.base_, fd, self.options_, self.lingering_, self.turns_);
     Stream* accepted_stream = stream.get();
     io::ConnectionEvents* events = self.accept_(std::move(stream));
     if (!events) return;  // rejected: the stream is already destroyed
@@ -335,6 +359,7 @@
   io::StreamOptions options_;
   io::Host::Accept accept_;
   Lingering::All& lingering_;
+  TurnClock& turns_;
   std::uint64_t& failed_;
   std::unique_ptr<evconnlistener, FreeWith<evconnlistener_free>> listener_;
   EventPtr resume_event_;
@@ -345,6 +370,7 @@
 struct Loop::Impl {
   LoopOptions options;
   std::unique_ptr<event_base, FreeWith<event_base_free>> base;
+  TurnClock turns;
   Lingering::All lingering;
   std::uint64_t accepts_failed = 0;
   std::mt19937_64 random{std::random_device{}()};
@@ -367,6 +393,7 @@
       const std::lock_guard lock(mutex);
       all.swap(posted);
     }
+    turns.on_callback(steady_now());
     for (const auto& task : all) task();
   }
   ~Impl() {
@@ -400,11 +427,7 @@
 }
 Loop::~Loop() = default;
 
-Time Loop::now() const {
-  timespec ts{};
-  clock_gettime(CLOCK_MONOTONIC, &ts);
-  return Time(std::chrono::seconds(ts.tv_sec) + std::chrono::nanoseconds(ts.tv_nsec));
-}
+Time Loop::now() const { return steady_now(); }
 std::int64_t Loop::unix_ms() const {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -413,12 +436,12 @@
 std::uint64_t Loop::random() { return impl_->random(); }
 
 std::unique_ptr<io::Timer> Loop::timer(std::function<void()> fired) {
-  return std::make_unique<LoopTimer>(impl_->base.get(), std::move(fired));
+  return std::make_unique<LoopTimer>(impl_->base.get(), impl_->turns, std::move(fired));
 }
 
 std::unique_ptr<io::Connection> Loop::connect(const io::Address& to, const io::StreamOptions& options,
                                               io::ConnectionEvents& events) {
-  auto stream = std::make_unique<Stream>(impl_->base.get(), -1, options, impl_->lingering);
+  auto stream = std::make_unique<Stream>(impl_->base.get(), -1, options, impl_->lingering, impl_->turns);
   stream->set_events(&events);
   const auto raw = to_sockaddr(to);
   if (!raw || (impl_->options.loopback_only && !is_loopback(to)))
@@ -433,7 +456,7 @@
   const auto raw = to_sockaddr(at);
   if (!raw || (impl_->options.loopback_only && !is_loopback(at))) return nullptr;
   auto listener = std::make_unique<LoopListener>(impl_->base.get(), *raw, options, std::move(accept),
-                                                 impl_->lingering, impl_->accepts_failed);
+                                                 impl_->lingering, impl_->turns, impl_->accepts_failed);
   if (!listener->listening()) return nullptr;
   return listener;
 }
@@ -463,7 +486,14 @@
 
 std::uint64_t Loop::accepts_failed() const { return impl_->accepts_failed; }
 
-void Loop::run() { event_base_loop(impl_->base.get(), EVLOOP_NO_EXIT_ON_EMPTY); }
+Duration Loop::take_longest_turn() { return impl_->turns.take_longest(); }
+
+void Loop::run() {
+  do {
+    event_base_loop(impl_->base.get(), EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+    impl_->turns.on_iteration_end(now());
+  } while (!event_base_got_break(impl_->base.get()));
+}
 void Loop::stop() { event_base_loopbreak(impl_->base.get()); }
 
 }  // namespace laureltide::net
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -22,6 +22,7 @@
   Time now() const override;  // CLOCK_MONOTONIC: the same for all processes of one machine
   std::int64_t unix_ms() const override;
   std::uint64_t random() override;
+  Duration take_longest_turn() override;
   std::unique_ptr<io::Timer> timer(std::function<void()> fired) override;
   std::unique_ptr<io::Connection> connect(const io::Address& to, const io::StreamOptions& options,
                                           io::ConnectionEvents& events) override;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -406,6 +406,12 @@
        << " list_current=" << (core_.module().list_is_valid(host_.now()) ? 1 : 0);
   line << " late_ms=" << std::chrono::duration_cast<std::chrono::milliseconds>(worst_timer_delay_).count();
   worst_timer_delay_ = {};
+  const TableSizes tables = core_.module().table_sizes();
+  line << " longest_turn_ms="
+       << std::chrono::duration_cast<std::chrono::milliseconds>(host_.take_longest_turn()).count()
+       << " functions=" << tables.functions << " placements=" << tables.placements
+       << " ended_ids=" << ended_ids_.size() << " client_unsent=" << front_.unsent()
+       << " open_body_bytes=" << open_body_bytes_;
   log_line_(Severity::kInfo, line.str());
   for (auto& [kind, count] : anomaly_counts_)
     if (count > 1) log_line_(Severity::kInfo, std::to_string(count) + " times: " + kind);
