tests: reproduce late answers to other clients under a flood of new function names

Eight connections send 40,000 calls of functions that no worker knows through a real node; an ordinary client sends a call each 20 ms. Answers may come 550 ms after their due time, by the protocol.

--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr std::uint8_t kControllerMagic = 76, kInvokerMagic = 108;
-constexpr std::uint8_t kOk = 97, kMiss = 99, kFull = 100, kHealthy = 103, kUnhealthy = 104;  // answers
+constexpr std::uint8_t kOk = 97, kMiss = 99, kFull = 100, kError = 101, kHealthy = 103,
+                       kUnhealthy = 104;  // answers
 constexpr Duration kDripInterval = std::chrono::milliseconds(100);
 
 // CRC-32 (IEEE), bit by bit from its definition.
@@ -164,8 +165,8 @@
 
 void PlatformInvoker::take_call(Session& session, std::uint64_t id, const std::string& fields,
                                 std::string body) {
-  const bool first =
-      std::none_of(calls_.begin(), calls_.end(), [&](const ReceivedCall& s) { return s.id == id; });
+  const bool first = refuse_first_ != 0 &&
+                     std::none_of(calls_.begin(), calls_.end(), [&](const auto& s) { return s.id == id; });
   calls_.push_back({id, fields, std::move(body), false, false, host_.now()});
   const std::size_t index = calls_.size() - 1;
   duplicate_refusals(id);
@@ -174,7 +175,9 @@
     return answer(&session, kFull, id, "", "");
   }
   if (fixed_answer_ != 0) return answer(&session, fixed_answer_, id, "", "");
-  if (refuse_first_ != 0 && first) return answer(&session, refuse_first_, id, "", "");
+  if (!known_functions_.empty() && !known_functions_.contains(value_of(fields, "k")))
+    return answer(&session, kError, id, "", "");
+  if (first) return answer(&session, refuse_first_, id, "", "");
   if (refuse_some_ != 0 && random_unit() < refused_share_) return answer(&session, refuse_some_, id, "", "");
   if (instances(value_of(fields, "k")) == 0) return answer(&session, kMiss, id, "", "");
   calls_[index].ran = true;
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -60,6 +60,8 @@
     faults_.insert(faults_.end(), static_cast<std::size_t>(times), fault);
   }
   void answer_all(std::uint8_t code) { fixed_answer_ = code; }  // 0: the usual answers
+  // Once a function is known, calls of functions that are not get an error answer (101).
+  void knows_function(const std::string& function) { known_functions_.insert(function); }
   // Refuses the first attempt of each call id with this code, not the later ones. 0: refuses none.
   void refuse_first(std::uint8_t code) { refuse_first_ = code; }
   // Refuses a random share of the calls with this code.
@@ -121,6 +123,7 @@
   bool draining_ = false;
   std::vector<SentWhileDraining> sent_while_draining_;
   std::map<std::string, int> instances_;
+  std::set<std::string> known_functions_;  // empty: all
   std::vector<ReceivedCall> calls_;
   std::size_t orders_ = 0, probes_ = 0, unloads_ = 0;
 };
