module: a replan no longer scans all functions for each function

Ordinary clients got answers seconds late while others sent calls under ever new function names. Cause: the greedy matching looked for the function with the most unplaced load by a scan over all planned functions, once for each of them; each name that a client makes up is planned for up to 11 s. The event loop stood meanwhile.

The matching is a module of its own now (policy/greedy_matching) with a heap, and ends when no worker has a free lane and slot.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -22,6 +22,8 @@
 #include <utility>
 
 #include "laureltide/dispatcher.h"
+#include "policy/bits.h"
+#include "policy/greedy_matching.h"
 #include "policy/worker_lease.h"
 
 namespace laureltide {
@@ -87,12 +89,6 @@
 
 constexpr TimerToken kReplanTimer = 1, kSweepTimer = 2, kSubscribeTimer = 3, kDeadlineTimers = 1ULL << 32;
 
-std::uint64_t mix_bits(std::uint64_t x) {
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
-
 // Own generator and bounded draw: standard distributions differ between libraries.
 class Random {
  public:
@@ -123,12 +119,6 @@
   }
 };
 
-// Rendezvous hashing: front ends that know nothing of each other try workers for a function in the same
-// order.
-std::uint64_t rendezvous_rank(FunctionId function, WorkerId worker) {
-  return mix_bits(static_cast<std::uint64_t>(function) ^ mix_bits(static_cast<std::uint64_t>(worker) + 1));
-}
-
 // Events per second as an exponentially decaying sum, without bias from its start on.
 struct Rate {
   double decayed_sum = 0;
@@ -171,8 +161,7 @@
   double lanes = 1, memory_mb = 0;
   Mean run_time_s, work_s;  // from answer times, and from the hints of requests
   Rate request_rate;
-  Time latest_deadline{};     // of its requests
-  double unplaced_lanes = 0;  // during a replan: busy lanes that are not assigned to a worker yet
+  Time latest_deadline{};  // of its requests
   std::map<WorkerId, Placement> placements;
 };
 
@@ -194,8 +183,6 @@
   Time cooldown_until{};
   Time limit_decreased_at{};
   double in_flight_limit = 1e9;  // own requests that it takes without a queue, estimated from answer times
-  double free_lanes = 0;         // during a replan: lanes and slots that are not assigned yet
-  double free_slots = 0;
 };
 
 // Limits the requests of one tenant to its share.
@@ -542,17 +529,6 @@
 
   // ---- Greedy plan ------------------------------------------------------------------------------
 
-  // Places as much of the function's load on the worker as the worker can take.
-  void assign(Function& function, WorkerId id, Worker& worker) {
-    const double lanes = std::min(worker.free_lanes, function.unplaced_lanes);
-    const double instances = std::min({std::ceil(lanes / function.lanes), std::floor(worker.free_slots),
-                                       static_cast<double>(kMaxInstancesPerOrder)});
-    worker.free_lanes -= lanes;
-    function.unplaced_lanes -= lanes;
-    worker.free_slots -= instances;
-    function.placements[id].target_instances = static_cast<int>(instances);
-  }
-
   // Bounds the memory of a process that runs for long: drops workers, functions and placements that no open
   // request refers to and that were not used for a while.
   void forget_unused() {
@@ -575,12 +551,13 @@
   }
 
   // Sets the targets: estimates each function's load in busy lanes, shares the capacity among the workers,
-  // and matches both greedily, the function with the most unplaced load first.
+  // and matches both greedily.
   void replan() {
     forget_unused();
     update_traffic_ratio();
-    double total_lanes = 0, requests_seen = 0, total_memory_mb = 0, total_weight = 0;
+    double total_lanes = 0, requests_seen = 0, total_memory_mb = 0;
     std::vector<Function*> planned;
+    std::vector<FunctionDemand> demands;
     for (auto& [id, function] : functions) {
       for (auto& [worker_id, placement] : function.placements) {
         placement.was_target = std::exchange(placement.target_instances, 0) > 0;
@@ -588,71 +565,61 @@
       }
       function.request_rate.decay_s = decay_s;
       const double total_rate = function.request_rate.per_second(now) * traffic_ratio;
-      function.unplaced_lanes = total_rate * work_seconds(function);
-      total_lanes += function.unplaced_lanes;
+      const double busy_lanes = total_rate * work_seconds(function);
+      total_lanes += busy_lanes;
       requests_seen += function.request_rate.decayed_sum;
-      if (function.unplaced_lanes <= 0 ||
-          total_rate * seconds(settings.instances.keep_alive) < kMinRequestsPerKeepAlive)
+      if (busy_lanes <= 0 || total_rate * seconds(settings.instances.keep_alive) < kMinRequestsPerKeepAlive)
         continue;
       planned.push_back(&function);
+      demands.push_back(demand_of(function, busy_lanes));
       total_memory_mb += function.memory_mb;
     }
     total_lanes *= 1 + kUnseenRequests / std::max(requests_seen, 1e-9);
-    std::vector<std::pair<WorkerId, Worker*>> fleet;
-    for (auto& [id, worker] : workers)
+    const double mean_memory_mb = total_memory_mb / std::max<double>(1, static_cast<double>(planned.size()));
+    const GreedyMatching matching = match_greedily(
+        demands, plan_capacities(total_lanes, mean_memory_mb, planned.size()), kMaxInstancesPerOrder);
+    for (const PlacementTarget& target : matching.targets)
+      planned[target.function]->placements[target.worker].target_instances = target.instances;
+    std::vector<Function*> by_load;
+    for (const std::size_t index : matching.by_load) by_load.push_back(planned[index]);
+    apply_plan(by_load);
+  }
+
+  FunctionDemand demand_of(const Function& function, double busy_lanes) const {
+    FunctionDemand demand{function.id, function.lanes, busy_lanes, {}, {}};
+    for (const auto& [id, placement] : function.placements) {
+      if (placement.was_target) demand.kept_targets.push_back(id);
+      if (placement.cooldown_until > now) demand.excluded.push_back(id);
+    }
+    return demand;
+  }
+
+  // The workers to plan for, each with its part of all lanes by weight and with the slots that its memory has
+  // for functions of the mean size.
+  std::vector<WorkerCapacity> plan_capacities(double total_lanes, double mean_memory_mb,
+                                              std::size_t planned_functions) {
+    std::vector<const Worker*> fleet;
+    std::vector<WorkerCapacity> capacities;
+    double total_weight = 0;
+    for (const auto& [id, worker] : workers)
       if (ready(worker) && !worker.suspect && usable(id)) {
-        fleet.emplace_back(id, &worker);
+        fleet.push_back(&worker);
+        capacities.push_back({id, 0, 0});
         total_weight += planning_weight(worker);
       }
     const double decayed = ready_workers * std::exp(-seconds(kReplanInterval) / decay_s);
     ready_workers = std::max({1.0, decayed, static_cast<double>(fleet.size())});
-    for (auto& [id, worker] : fleet) {
-      worker->free_lanes =
-          kLaneHeadroom * total_lanes * planning_weight(*worker) / std::max(total_weight, 1e-9);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+      capacities[i].free_lanes =
+          kLaneHeadroom * total_lanes * planning_weight(*fleet[i]) / std::max(total_weight, 1e-9);
       const auto& memory_mb_by_kind = settings.instances.memory_mb_by_kind;
-      const double memory_mb =
-          worker->entry.kind < memory_mb_by_kind.size() ? memory_mb_by_kind[worker->entry.kind] : 0;
-      worker->free_slots =
-          total_memory_mb > 0 && memory_mb > 0
-              ? std::max(1.0, memory_mb / (total_memory_mb / static_cast<double>(planned.size())))
-              : static_cast<double>(planned.size());
-    }
-    std::stable_sort(planned.begin(), planned.end(),
-                     [](auto* a, auto* b) { return a->unplaced_lanes > b->unplaced_lanes; });
-    for (Function* function : planned)  // targets of the plan before that still get load are kept first
-      for (auto& [id, placement] : function->placements) {
-        Worker& worker = workers[id];
-        if (placement.was_target && ready(worker) && !worker.suspect && usable(id) &&
-            function->unplaced_lanes > 0 && worker.free_lanes > 0 && worker.free_slots >= 1)
-          assign(*function, id, worker);
-      }
-    while (true) {
-      const auto function = std::max_element(planned.begin(), planned.end(), [](auto* a, auto* b) {
-        return a->unplaced_lanes < b->unplaced_lanes;
-      });
-      if (function == planned.end() || (*function)->unplaced_lanes <= 1e-9) break;
-      // The paper maximises min(worker flow, function flow), here free and unplaced lanes, so all workers
-      // that can take the whole function tie. Ties go to the highest rendezvous rank, so that front ends
-      // share instances without communication.
-      const std::pair<WorkerId, Worker*>* best = nullptr;
-      auto rank = [&](const std::pair<WorkerId, Worker*>& candidate) {
-        return std::tuple(std::min(candidate.second->free_lanes, (*function)->unplaced_lanes),
-                          rendezvous_rank((*function)->id, candidate.first));
-      };
-      for (const auto& candidate : fleet) {
-        if (candidate.second->free_slots < 1 || candidate.second->free_lanes <= 1e-9) continue;
-        const auto it = (*function)->placements.find(candidate.first);
-        if (it != (*function)->placements.end() &&
-            (it->second.target_instances > 0 || it->second.cooldown_until > now))
-          continue;
-        if (!best || rank(candidate) > rank(*best)) best = &candidate;
-      }
-      if (best)
-        assign(**function, best->first, *best->second);
-      else
-        (*function)->unplaced_lanes = 0;
+      const std::uint16_t kind = fleet[i]->entry.kind;
+      const double memory_mb = kind < memory_mb_by_kind.size() ? memory_mb_by_kind[kind] : 0;
+      capacities[i].free_slots = mean_memory_mb > 0 && memory_mb > 0
+                                     ? std::max(1.0, memory_mb / mean_memory_mb)
+                                     : static_cast<double>(planned_functions);
     }
-    apply_plan(planned);
+    return capacities;
   }
 
   // ---- Orders -----------------------------------------------------------------------------------
