module: bound the functions that estimates are kept of, from the memory limit

Settings::max_functions bounds the module's table; past it a quarter goes, those never served first, then those not requested for longest; functions with open requests stay. A node takes 256 functions and 512 names for each MB of its limit. Arrivals that count for the ration of orders are bounded too. An order's answer counts for its worker also if the function was evicted meanwhile.

--- a/include/laureltide/dispatcher.h
+++ b/include/laureltide/dispatcher.h
@@ -118,6 +118,9 @@
   double fetch_cost = 0;
   double order_cost = 0;
   Duration tick{};
+  // Functions that estimates are kept of. Beyond it those that were never served go first, then those not
+  // requested for longest; functions with open requests stay.
+  std::size_t max_functions = 8192;
   std::uint32_t replica_index = 0;  // of this front end, below `replicas`
   std::uint32_t replicas = 1;       // front ends in all
 };
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -86,6 +86,7 @@
 constexpr Duration kForgetAfter = 60s;        // longer than any client waits and any idle instance is kept
 constexpr Duration kAnswerMargin = 40ms;  // before the deadline, when a request that nothing can serve ends
 constexpr int kMaxInstancesPerOrder = 16;
+constexpr std::size_t kMaxCountedArrivals = 65'536;  // more allow no more orders
 
 constexpr TimerToken kReplanTimer = 1, kSweepTimer = 2, kSubscribeTimer = 3, kDeadlineTimers = 1ULL << 32;
 
@@ -162,6 +163,7 @@
   Mean run_time_s, work_s;  // from answer times, and from the hints of requests
   Rate request_rate;
   Time latest_deadline{};  // of its requests
+  int open_requests = 0;
   std::map<WorkerId, Placement> placements;
 };
 
@@ -405,6 +407,7 @@
       function.id = request.function, function.request_rate.updated_at = now,
       function.request_rate.started_at = start;
     function.request_class = request.request_class;
+    ++function.open_requests;
     function.latest_deadline = std::max(function.latest_deadline, request.deadline);
     function.lanes = std::max(1.0, std::floor(valid_or(request.lanes, 1)));
     function.memory_mb = valid_or(request.memory_mb, 0);
@@ -415,6 +418,21 @@
       class_mean.add(seconds(*request.work_hint), -1);
       function.work_s.add(seconds(*request.work_hint), class_mean.value);
     }
+    if (functions.size() > settings.max_functions) evict_functions();
+  }
+
+  // Clients can name any number of functions. Makes room for a quarter of the limit at once, so that the scan
+  // over all functions is rare.
+  void evict_functions() {
+    std::vector<std::tuple<bool, Time, FunctionId>> candidates;  // never served first, then the oldest
+    for (const auto& [id, function] : functions)
+      if (function.open_requests == 0)
+        candidates.emplace_back(function.run_time_s.value > 0, function.latest_deadline, id);
+    const std::size_t wanted = functions.size() - (settings.max_functions - settings.max_functions / 4);
+    const std::size_t count = std::min(wanted, candidates.size());
+    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
+    if (end != candidates.end()) std::nth_element(candidates.begin(), end, candidates.end());
+    for (auto it = candidates.begin(); it != end; ++it) functions.erase(std::get<FunctionId>(*it));
   }
 
   // Counts the request. True if it is beyond its tenant's share, where it is worth little. This front end's
@@ -693,15 +711,17 @@
     return static_cast<double>(order_times.size()) + 1 <= allowed * share;
   }
 
+  // The function may have been evicted meanwhile; what the result says of the worker counts all the same.
   void on_hold_result(const HoldResult& result) {
     const auto worker = workers.find(result.worker);
-    const auto function_it = functions.find(result.function);
-    if (worker == workers.end() || function_it == functions.end()) return;
-    Function& function = function_it->second;
-    Placement& placement = function.placements[result.worker];
+    if (worker == workers.end()) return;
+    const auto function = functions.find(result.function);
+    Placement* const placement =
+        function == functions.end() ? nullptr : &function->second.placements[result.worker];
     // An order for no instances is a query and needs no room, so its refusal can only mean a drain.
-    const bool query = result.ordered_instances.value_or(placement.ordered_instances) == 0;
-    if (!query) placement.ordered_instances = 0;
+    const int ordered = result.ordered_instances.value_or(placement ? placement->ordered_instances : 1);
+    const bool query = ordered == 0;
+    if (placement && !query) placement->ordered_instances = 0;
     if (query && result.outcome == Outcome::kFull)
       leases.probe_refused(result.worker, now - result.took, now);
     // The result says nothing of the instances there: the worker is probed.
@@ -712,10 +732,13 @@
     // Only a missing instance that should be there indicates a restart; an answer about another function does
     // not.
     const bool list_expired = !leases.list_is_valid(now);  // then the list would not show a restart
-    clear_suspect(result.worker, list_expired || (has_known_instance(placement) && result.instances <= 0));
-    placement.known_instances = std::max(0, result.instances);
-    if (placement.known_instances > 0) placement.last_seen = now, placement.loaded_by_order = true;
-    if (result.outcome == Outcome::kFull) placement.cooldown_until = now + jittered(kNoMemoryCooldown);
+    const bool instance_missing = placement && has_known_instance(*placement) && result.instances <= 0;
+    clear_suspect(result.worker, list_expired || instance_missing);
+    if (placement) {
+      placement->known_instances = std::max(0, result.instances);
+      if (placement->known_instances > 0) placement->last_seen = now, placement->loaded_by_order = true;
+      if (result.outcome == Outcome::kFull) placement->cooldown_until = now + jittered(kNoMemoryCooldown);
+    }
     dispatch_waiting();
   }
 
@@ -829,7 +852,8 @@
     OpenRequest& open = it->second;
     open.request = request;
     open.arrived_at = now;
-    if (settings.instances.order_window > 0ns) arrival_times.push_back(now);
+    if (settings.instances.order_window > 0ns && arrival_times.size() < kMaxCountedArrivals)
+      arrival_times.push_back(now);
     update_function(request);
     const Duration time_left = std::max<Duration>(0ns, request.deadline - now);
     sink.start_timer(time_left, kDeadlineTimers | static_cast<std::uint32_t>(request.id));
@@ -1065,7 +1089,10 @@
   }
 
   void erase_if_done(std::map<RequestId, OpenRequest>::iterator it) {
-    if (it->second.answered && it->second.in_flight == 0) open_requests.erase(it);
+    if (!it->second.answered || it->second.in_flight > 0) return;
+    if (const auto function = functions.find(it->second.request.function); function != functions.end())
+      --function->second.open_requests;
+    open_requests.erase(it);
   }
 
   // ---- Rules ------------------------------------------------------------------------------------
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -33,6 +33,9 @@
 constexpr std::size_t kReservedDescriptors = 24;
 constexpr double kClientSocketShare =
     0.45;  // of the other descriptors; well-behaved clients hold a third of all
+// Clients can name any number of functions. An entry of the module takes about half a kilobyte.
+constexpr std::size_t kFunctionsPerMb = 256;
+constexpr std::size_t kFunctionNamesPerMb = 512;
 constexpr double kBodyMemoryShare = 0.25;  // of the memory limit, for bodies of open calls
 
 std::size_t socket_share(const Limits& limits, double share) {
@@ -50,12 +53,19 @@
                                        platform::ConnectionBudget& budget, io::Host& host) {
   controller::Core::Options options;
   options.seed = config.seed;
+  options.max_function_names = config.limits.memory_mb * kFunctionNamesPerMb;
   options.port = [&links, &budget, &host](WorkerId id, const io::Address& at, worker::LinkEvents& events) {
     return std::make_unique<platform::Link>(host, id, at, links, budget, events);
   };
   return options;
 }
 
+std::shared_ptr<const config::Settings> core_settings(const Config& config) {
+  auto settings = std::make_shared<config::Settings>(config.settings);
+  settings->module.max_functions = config.limits.memory_mb * kFunctionsPerMb;
+  return settings;
+}
+
 platform::LinkOptions link_options(const Config& config) {
   platform::LinkOptions options;
   const laureltide::Settings& module = config.settings.module;
@@ -84,7 +94,7 @@
       config_(std::move(config)),
       log_line_(std::move(log_line)),
       log_calls_(log_calls),
-      settings_(std::make_shared<config::Settings>(config_.settings)),
+      settings_(core_settings(config_)),
       link_options_(link_options(config_)),
       core_(host, settings_, *this, core_options(config_, link_options_, budget_, host)),
       front_(host, front_options(config_), *this),
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -655,6 +655,93 @@
   EXPECT_LE(late, early + 20);
 }
 
+// Requests of a flood, each for a function of its own that no worker knows.
+void send_flood(ScriptedFrontEnd& front_end, std::uint64_t first_function, int count) {
+  for (int i = 0; i < count; ++i) {
+    const RequestId id = front_end.request(kOnce, first_function + static_cast<std::uint64_t>(i));
+    for (const Action& sent : front_end.sends_of(id)) front_end.answer_attempt(sent, Outcome::kError);
+    front_end.actions.clear();
+    if (i % 40 == 0) front_end.advance(4ms);
+  }
+}
+
+TEST(Bounds, FunctionTableStaysBoundedUnderEverNewNames) {
+  Settings settings = default_settings();
+  settings.max_functions = 1000;
+  ScriptedFrontEnd front_end(settings);
+  front_end.update_list(fleet(4));
+  send_flood(front_end, 1'000'000, 20'000);
+  EXPECT_LE(front_end.dispatcher.table_sizes().functions, settings.max_functions + 1);
+  EXPECT_EQ(front_end.dispatcher.table_sizes().open_requests, 0U);
+}
+
+// What is known of a function that was served outlives a flood of other names.
+TEST(Bounds, EvictionBeginsWithFunctionsThatWereNeverServed) {
+  ScriptedFrontEnd fresh;
+  fresh.update_list(fleet(8));
+  const WorkerId first_by_hash = fresh.sends_of(fresh.request())[0].worker;
+  const std::uint32_t other = first_by_hash == WorkerId{1} ? 2 : 1;
+
+  Settings settings = default_settings();
+  settings.max_functions = 1000;
+  ScriptedFrontEnd front_end(settings);
+  front_end.update_list({ScriptedFrontEnd::worker(other)});
+  send_traffic(front_end, 2s, 50ms);
+  front_end.update_list(fleet(8));
+  send_flood(front_end, 1'000'000, 20'000);
+  const RequestId id = front_end.request();
+  ASSERT_EQ(front_end.sends_of(id).size(), 1U);
+  EXPECT_EQ(front_end.sends_of(id)[0].worker, WorkerId{other});
+}
+
+// A function with an open request keeps its place, however many others come.
+TEST(Bounds, EvictionSparesFunctionsWithOpenRequests) {
+  Settings settings = default_settings();
+  settings.max_functions = 100;
+  ScriptedFrontEnd front_end(settings);
+  front_end.update_list(fleet(4));
+  const RequestId open = front_end.request(kRepeatable, 5);
+  const Action sent = front_end.sends_of(open)[0];
+  front_end.advance(4ms);
+  send_flood(front_end, 1'000'000, 1000);
+  front_end.answer_attempt(sent, Outcome::kMiss);  // orders an instance of it
+  const auto orders = front_end.actions_of(ActionKind::kHold);
+  ASSERT_FALSE(orders.empty());
+  EXPECT_EQ(orders.back().function, FunctionId{5});
+}
+
+// The answer to an order shows that the worker is alive, also if its function was evicted meanwhile.
+TEST(Bounds, OrderResultOfAnEvictedFunctionClearsTheSuspicion) {
+  Settings settings = default_settings();
+  settings.max_functions = 100;
+  ScriptedFrontEnd front_end(settings);
+  front_end.update_list(fleet(2));
+  const RequestId first = front_end.request(kOnce, 5, 50ms);
+  front_end.answer_attempt(front_end.sends_of(first)[0], Outcome::kReset);
+  front_end.advance(100ms);
+  const auto queries = front_end.actions_of(ActionKind::kHold);
+  ASSERT_EQ(queries.size(), 1U);
+  send_flood(front_end, 1'000'000, 1000);  // at the other worker
+  front_end.answer_order(queries[0], Outcome::kOk, 0);
+  front_end.actions.clear();
+  front_end.advance(1500ms);
+  for (const Action& order : front_end.actions_of(ActionKind::kHold)) EXPECT_NE(order.count, 0);
+}
+
+TEST(Bounds, CountedArrivalsStayBounded) {
+  Settings settings = default_settings();
+  settings.instances.order_window = 60s;
+  settings.instances.orders_per_request = 0.1;
+  ScriptedFrontEnd front_end(settings);
+  front_end.update_list(fleet(1));
+  for (int i = 0; i < 100'000; ++i) {
+    const RequestId id = front_end.request(kOnce, 1);
+    for (const Action& sent : front_end.sends_of(id)) front_end.answer_attempt(sent, Outcome::kError);
+    front_end.actions.clear();
+  }
+  EXPECT_LE(front_end.dispatcher.table_sizes().counted_arrivals, 65'536U);
+}
+
 TEST(Bounds, IgnoresEventsAboutUnknownRequestsAndWorkers) {
   ScriptedFrontEnd front_end;
   front_end.update_list({});
