core, links: an order that was never sent says nothing of its worker

During the flood nodes logged many workers as suspect, 'order not delivered', although the workers were sound: the core had forgotten the function's name among 65,536 others and told the module that the connection had failed. An order for which a link had no connection within its own bounds ended as full, which the module reads as the worker's word: a drain, for a question, or a lack of memory.

Both now end as not run, and the module draws no conclusion: neither a suspicion nor a sign of life. Each guard was seen to fail its test when taken out: NodeTest.OrderForAForgottenNameDoesNotMakeTheWorkerSuspect, LinkTest.OrderBeyondConnectionBudgetEndsAsNotRun, LinkTest.EndsCallsOverTheLimitsAsFull (serve's link) and Bounds.OrderThatWasNeverSentDoesNotMakeTheWorkerSuspect.

--- a/include/laureltide/dispatcher.h
+++ b/include/laureltide/dispatcher.h
@@ -173,7 +173,8 @@
 };
 
 // How an attempt, an order or a probe ended. kFull: refused for lack of room, or by a worker that drains.
-// kMiss: refused for lack of an instance. kNotRun: dropped before it ran, since it was no longer needed.
+// kMiss: refused for lack of an instance. kNotRun: dropped before it ran, since it was no longer needed, or
+// never sent, for a reason that lies with the front end.
 // After kFull, kMiss, kNotRun and kConnectFailed an attempt is known not to have run.
 enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kNotRun, kMiss };
 // What an attempt found at the worker.
--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -427,7 +427,7 @@
   worker::WorkerLink* to = name ? link(worker) : nullptr;
   if (!to) {
     deferred_events_.push_back(
-        [this, worker, cookie](Time) { on_hold_end(worker, cookie, Outcome::kConnectFailed, 0); });
+        [this, worker, cookie](Time) { on_hold_end(worker, cookie, Outcome::kNotRun, 0); });
     return;
   }
   add_timer(host_.now() + settings_->module.instances.order_timeout, TimerKind::kOrderTimeout, cookie);
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -727,7 +727,8 @@
     // The result says nothing of the instances there: the worker is probed.
     if (result.outcome == Outcome::kConnectFailed || result.outcome == Outcome::kReset)
       return mark_suspect(result.worker, "order not delivered");
-    if (result.outcome == Outcome::kTimeout) return;
+    // Without an answer, or never sent, it says nothing of the worker.
+    if (result.outcome == Outcome::kTimeout || result.outcome == Outcome::kNotRun) return;
     worker->second.last_answer = now;
     // Only a missing instance that should be there indicates a restart; an answer about another function does
     // not.
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -230,7 +230,9 @@
       if (it == pending_.end()) return;
       const Pending pending = it->second;
       pending_.erase(it);
-      report_end(pending.cookie, pending.kind, Outcome::kFull, "no connection is free");
+      // For an order, full is the worker's word: it would count as a drain or as a lack of memory there.
+      const Outcome outcome = pending.kind == Kind::kHold ? Outcome::kNotRun : Outcome::kFull;
+      report_end(pending.cookie, pending.kind, outcome, "no connection is free");
     });
   scratch_.clear();
   write(scratch_, kControllerMagic, code, id, fields, body);
--- a/src/worker/link.cpp
+++ b/src/worker/link.cpp
@@ -81,8 +81,12 @@
       (connection_ && connection_->unsent() > options_.max_unsent_bytes);
   const bool worker_draining =
       draining_ && state_ == State::kReady && !std::holds_alternative<Probe>(message);
-  if (over_limit || worker_draining)  // not handed to the transport: never ran
-    return defer([this, m = std::move(message), cookie] { end_waiting(m, cookie, Outcome::kFull); });
+  if (over_limit || worker_draining) {  // not handed to the transport: never ran
+    // For an order, full is the worker's word: it would count as a drain or as a lack of memory there.
+    const bool is_own_limit = !worker_draining && std::holds_alternative<Hold>(message);
+    const Outcome outcome = is_own_limit ? Outcome::kNotRun : Outcome::kFull;
+    return defer([this, m = std::move(message), cookie, outcome] { end_waiting(m, cookie, outcome); });
+  }
   if (state_ == State::kReady) return transmit(message, body, cookie);
   if (auto* c = std::get_if<Call>(&message)) c->body = body;
   waiting_.push_back({std::move(message), cookie});
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -728,6 +728,29 @@
   for (const Action& order : front_end.actions_of(ActionKind::kHold)) EXPECT_NE(order.count, 0);
 }
 
+// An order that this front end did not send, for lack of a name or a connection, says nothing of the worker.
+TEST(Bounds, OrderThatWasNeverSentDoesNotMakeTheWorkerSuspect) {
+  ScriptedFrontEnd front_end;
+  front_end.update_list(fleet(1));
+  const RequestId first = front_end.request();
+  front_end.serve(front_end.sends_of(first)[0]);
+  for (const int ordered : {2, 0}) {
+    for (const FunctionId function : {FunctionId{1}, FunctionId{99}}) {
+      const HoldResult result{WorkerId{1}, function, Outcome::kNotRun, 1ms, 0, ordered};
+      front_end.dispatcher.on(front_end.now, result);
+    }
+  }
+  EXPECT_TRUE(front_end.log_lines.empty());
+  EXPECT_TRUE(front_end.dispatcher.may_start_work(front_end.now, WorkerId{1}));
+  // Nor is it a sign of life of a suspect worker, which is asked again.
+  front_end.answer_attempt(front_end.sends_of(front_end.request())[0], Outcome::kReset);
+  front_end.advance(100ms);
+  front_end.actions.clear();
+  front_end.dispatcher.on(front_end.now, HoldResult{WorkerId{1}, FunctionId{1}, Outcome::kNotRun, 1ms, 0, 0});
+  front_end.advance(1500ms);
+  EXPECT_FALSE(front_end.actions_of(ActionKind::kHold).empty());
+}
+
 TEST(Bounds, CountedArrivalsStayBounded) {
   Settings settings = default_settings();
   settings.instances.order_window = 60s;
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -612,6 +612,14 @@
   net.run_for(5s);
 }
 
+// The core can have forgotten a function's name under a flood of others. Its order is not sent then; the
+// worker is as good as before.
+TEST_F(NodeTest, OrderForAForgottenNameDoesNotMakeTheWorkerSuspect) {
+  node->core().hold(WorkerId{1}, FunctionId{0xdead}, 1);
+  net.run_for(1s);  // the result is handled with the module's next event
+  for (const std::string& line : lines) EXPECT_EQ(line.find("suspect"), std::string::npos) << line;
+}
+
 TEST_F(NodeTest, RefusesCallsBeyondMemoryLimit) {
   node.reset();
   json doc = config(bus.known());
--- a/tests/platform/link_test.cpp
+++ b/tests/platform/link_test.cpp
@@ -482,6 +482,16 @@
   EXPECT_EQ(invoker.calls().size(), 6U);
 }
 
+// An order answered full means that the worker has no memory, or drains: not that this link has no
+// connection.
+TEST_F(LinkTest, OrderBeyondConnectionBudgetEndsAsNotRun) {
+  budget.limit = 0, budget.reserve = 0;
+  link.hold(kFunction, 1, 1), link.hold(kFunction, 0, 2);
+  net.run_for(200ms);
+  EXPECT_EQ(holds[1], (std::vector{std::pair(Outcome::kNotRun, 0)}));
+  EXPECT_EQ(holds[2], (std::vector{std::pair(Outcome::kNotRun, 0)}));
+}
+
 TEST_F(LinkTest, ClosesIdleConnectionsAfterTimeout) {
   load();
   call(1), call(2);
--- a/tests/worker/worker_test.cpp
+++ b/tests/worker/worker_test.cpp
@@ -257,9 +257,12 @@
     Call c;
     small.call(c, "", i);
   }
+  small.hold("f", 1, 4);
   net.run_for(10ms);
   EXPECT_EQ(events.call(3), Outcome::kFull);
-  call(10, std::string(6000, 'x'));  // over the worker's maximum frame
+  ASSERT_EQ(events.holds.size(), 1U);
+  EXPECT_EQ(events.holds[0].outcome, Outcome::kNotRun);  // full would be the worker's word
+  call(10, std::string(6000, 'x'));                      // over the worker's maximum frame
   net.run_for(10ms);
   EXPECT_EQ(events.call(10), Outcome::kFull);
 }
