front: connections take turns, and a turn of the event loop has a bound in work

One connection's whole input, up to 64 KiB or some 250 calls, was handled before the next connection and before timers; with N clients at full speed a turn was N times that, and answers and deadlines of all others waited.

A connection now handles eight messages, then the next one has its turn; a turn of the loop ends after 64 messages or 5 ms. Whole messages that are left wait in the connection's input (io::Connection::deliver_input), which stops reading once it is full.

FrontTurns.BacklogOfOneConnectionDoesNotDelayOthers and .ConnectionsTakeTurns fail without the share of a visit, .ATurnOfTheLoopHandlesABoundedNumberOfMessages without the bound of a turn. Without the check in run_turn alone the loop does not end (the trial was stopped after 20 minutes).

--- a/src/base/io.h
+++ b/src/base/io.h
@@ -44,6 +44,9 @@
   virtual std::size_t unsent() const = 0;
   // Stops or resumes on_bytes. While stopped, the transport's flow control holds the peer back.
   virtual void read(bool enabled) = 0;
+  // Calls on_bytes() with the unconsumed input now, if there is any and reading is not stopped. Not to be
+  // called from within on_bytes().
+  virtual void deliver_input() = 0;
   // Sends the unsent bytes and the end of the stream (FIN), then waits until the peer closes its side:
   // closing at once with unread input would send a reset, which can destroy the bytes just written. Further
   // input is discarded. The host limits the time, the bytes and the number of such connections. No event
@@ -56,7 +59,7 @@
   virtual ~ConnectionEvents() = default;
   virtual void on_open() {}
   // All unconsumed input, contiguous. Returns the number of bytes consumed; the rest is passed again together
-  // with later input. An implementation must consume before `read_ahead` bytes are waiting.
+  // with later input, or by deliver_input(). Once `read_ahead` bytes are waiting, no more are read.
   virtual std::size_t on_bytes(std::string_view bytes) = 0;
   // The unsent bytes fell below the host's low watermark after write() had exceeded it.
   virtual void on_drained() {}
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -25,19 +25,23 @@
   std::size_t on_bytes(std::string_view bytes) override {
     const Time now = server_.host_.now();
     has_sent_data_ = true, last_data_at_ = server_.last_received_ = now;
+    const bool has_turn = server_.visited_ == this || (server_.waiting_.empty() && !server_.turn_is_over());
+    if (!has_turn) return server_.wait_for_turn(*this), 0;
     std::size_t used = 0;
+    std::size_t handled = 0;
     while (stream_) {
-      const std::string_view left = bytes.substr(used);
-      if (left.size() < kLengthBytes) break;
-      Reader in(left);
-      const std::uint32_t size = in.u32();
-      if (size > kMaxFrameBytes) {  // covers negative lengths too
-        close_with_error("a frame's length is over its bound");
-        return bytes.size();
+      const Frame frame = next_frame(bytes.substr(used));
+      if (frame.is_too_long) return close_with_error("a frame's length is over its bound"), bytes.size();
+      if (!frame.is_whole) break;
+      if (handled >= server_.options_.messages_per_visit || server_.turn_is_over()) {
+        server_.wait_for_turn(*this);
+        return used;
       }
-      if (in.left() < size) break;
-      used += kLengthBytes + size;
-      on_message(parse(in.take(size)));
+      ++handled;
+      used += kLengthBytes + frame.message.size();
+      server_.start_turn_timer();
+      ++server_.messages_this_turn_;
+      on_message(parse(frame.message));
     }
     if (!stream_) return bytes.size();
     if (used == bytes.size())
@@ -46,6 +50,10 @@
       partial_frame_since_ = now;
     return used;
   }
+  void handle_waiting_messages() {
+    is_waiting = false;
+    if (stream_) stream_->deliver_input();
+  }
   void on_closed(io::CloseReason) override { server_.drop(*this); }
 
   void answer(Ticket ticket, const Reply& reply) {
@@ -93,11 +101,27 @@
     if (stream_) stream_->finish();
   }
   std::size_t unsent() const { return stream_ ? stream_->unsent() : 0; }
+  bool is_waiting = false;  // in Server::waiting_
   bool has_open_calls() const { return !number_by_ticket_.empty(); }
   bool has_sent_data() const { return has_sent_data_; }
   Time last_data_at() const { return last_data_at_; }
 
  private:
+  struct Frame {
+    std::string_view message;
+    bool is_whole = false, is_too_long = false;
+  };
+  static Frame next_frame(std::string_view input) {
+    Frame frame;
+    if (input.size() < kLengthBytes) return frame;
+    Reader in(input);
+    const std::uint32_t size = in.u32();
+    frame.is_too_long = size > kMaxFrameBytes;  // covers negative lengths too
+    frame.is_whole = !frame.is_too_long && in.left() >= size;
+    if (frame.is_whole) frame.message = in.take(size);
+    return frame;
+  }
+
   void on_message(Parsed parsed) {
     Request& request = parsed.request;
     switch (parsed.kind) {
@@ -170,7 +194,8 @@
       options_(options),
       events_(events),
       closed_connections_(host),
-      sweep_(host.timer([this] { sweep(); })) {}
+      sweep_(host.timer([this] { sweep(); })),
+      turn_timer_(host.timer([this] { run_turn(); })) {}
 Server::~Server() = default;
 
 bool Server::listen(const io::Address& at) {
@@ -233,10 +258,37 @@
   if (it == connections_.end()) return;
   std::unique_ptr<Connection> owned = std::move(it->second);
   connections_.erase(it);
+  if (owned->is_waiting) std::erase(waiting_, owned.get());
   owned->end();
   closed_connections_.delete_later(std::move(owned));
 }
 
+// ---- Turns --------------------------------------------------------------------------------------------
+
+void Server::start_turn_timer() {
+  if (!std::exchange(turn_timer_started_, true)) turn_timer_->start(Duration(0));
+}
+
+void Server::wait_for_turn(Connection& connection) {
+  if (!std::exchange(connection.is_waiting, true)) waiting_.push_back(&connection);
+  start_turn_timer();
+}
+
+// Runs once in a turn of the event loop in which messages came.
+void Server::run_turn() {
+  turn_timer_started_ = false;
+  messages_this_turn_ = 0;
+  const Time end = host_.now() + options_.max_turn;
+  while (!waiting_.empty() && !turn_is_over()) {
+    visited_ = waiting_.front();
+    waiting_.pop_front();
+    visited_->handle_waiting_messages();
+    visited_ = nullptr;
+    if (host_.now() >= end) break;
+  }
+  if (!waiting_.empty()) start_turn_timer();
+}
+
 void Server::sweep() {
   sweep_->start(kSweepInterval);
   const Time now = host_.now();
--- a/src/front/server.h
+++ b/src/front/server.h
@@ -15,10 +15,15 @@
 // A client that does not read its answers is disconnected once `max_unsent_bytes`
 // are pending.
 //
+// Connections take turns: each handles a few messages, then the next one. Whole messages that are left wait
+// in the connection's input for its next turn, and a turn of the event loop handles a bounded number in all,
+// so that clients which send without pause delay neither others nor timers.
+//
 // A client that closes its side counts as gone, even if it closed only its sending half: its earlier requests
 // are delivered first, then reported as abandoned.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,6 +38,9 @@
   std::size_t max_open_calls = 32;          // per connection
   std::size_t max_cancels_per_second = 64;  // per connection
   std::size_t max_unsent_bytes = 1U << 20;
+  std::size_t messages_per_visit = 8;  // of one connection, before the next one has its turn
+  std::size_t messages_per_turn = 64;  // of all connections, before timers and other input
+  Duration max_turn = std::chrono::milliseconds(5);
   Duration first_byte_timeout = std::chrono::milliseconds(2000);
   Duration frame_timeout = std::chrono::milliseconds(2000);
 };
@@ -72,6 +80,10 @@
   bool close_longest_idle();
   void drop(Connection& connection);
   void sweep();
+  void start_turn_timer();
+  void wait_for_turn(Connection& connection);
+  void run_turn();
+  bool turn_is_over() const { return messages_this_turn_ >= options_.messages_per_turn; }
 
   io::Host& host_;
   ServerOptions options_;
@@ -81,6 +93,11 @@
   std::map<Ticket, Connection*> tickets_;
   io::DeferredDeleter<Connection> closed_connections_;
   std::unique_ptr<io::Timer> sweep_;
+  std::unique_ptr<io::Timer> turn_timer_;
+  bool turn_timer_started_ = false;
+  std::size_t messages_this_turn_ = 0;
+  std::deque<Connection*> waiting_;  // connections with whole messages, in the order of their next turns
+  Connection* visited_ = nullptr;    // whose turn it is
   Time last_received_{};
   Ticket next_ticket_ = 1;
 };
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -214,6 +214,7 @@
     if (enabled && evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0)
       bufferevent_trigger(stream_.get(), EV_READ, BEV_OPT_DEFER_CALLBACKS);
   }
+  void deliver_input() override { on_read(stream_.get(), this); }
   void finish() override {
     if (std::exchange(closed_, true)) return;
     if (!open_) return;
--- a/src/sim/network.cpp
+++ b/src/sim/network.cpp
@@ -42,6 +42,7 @@
     if (enabled)
       net_.after(Duration(0), [net = &net_, link = link_, end = end_] { net->deliver(link, end); });
   }
+  void deliver_input() override { net_.deliver(link_, end_); }
   void finish() override {
     link_->ends[end_].events = nullptr;
     if (link_->closed || std::exchange(finished_, true)) return;
--- a/src/standin/broker.cpp
+++ b/src/standin/broker.cpp
@@ -130,6 +130,7 @@
     }
     std::size_t unsent() const override { return inner_->unsent() + owner_.unsent_.size(); }
     void read(bool enabled) override { inner_->read(enabled); }
+    void deliver_input() override { inner_->deliver_input(); }
     void finish() override { inner_->finish(); }
 
    private:
--- a/tests/front/front_test.cpp
+++ b/tests/front/front_test.cpp
@@ -242,6 +242,63 @@
   EXPECT_EQ(server.connections(), 8U);
 }
 
+// Several clients whose bytes all arrive at the same moment.
+struct FrontTurns : FrontTest {
+  sim::Network fixed{{1, 100us, 100us, 0}};
+  ServerOptions many = [] {
+    ServerOptions o;
+    o.max_connections = 32;
+    return o;
+  }();
+  Server turns{fixed, many, *this};
+  std::vector<std::unique_ptr<PlatformClient>> clients;
+
+  void connect(int count) {
+    ASSERT_TRUE(turns.listen(kAt));
+    for (int i = 0; i < count; ++i) clients.push_back(std::make_unique<PlatformClient>(fixed, kAt));
+    fixed.run_for(10ms);
+  }
+  static std::string messages(const std::string& sender, std::int32_t count) {
+    std::string bytes;
+    for (std::int32_t n = 1; n <= count; ++n) bytes += PlatformClient::call_bytes(n, {{"n", sender}}, "");
+    return bytes;
+  }
+  std::ptrdiff_t first_call_of(const std::string& sender) const {
+    const auto is_sender = [&](const auto& call) { return call.second.at("n") == sender; };
+    return std::find_if(calls.begin(), calls.end(), is_sender) - calls.begin();
+  }
+};
+
+TEST_F(FrontTurns, BacklogOfOneConnectionDoesNotDelayOthers) {
+  ASSERT_NO_FATAL_FAILURE(connect(2));
+  clients[0]->raw(messages("flood", 400));
+  clients[1]->raw(messages("other", 1));
+  fixed.run_for(50ms);
+  EXPECT_LE(first_call_of("other"), 16);  // behind two visits to the flood
+  EXPECT_EQ(calls.size(), 32U + 1U);
+  EXPECT_EQ(clients[0]->replies().size(), 400U - 32U);
+}
+
+TEST_F(FrontTurns, ATurnOfTheLoopHandlesABoundedNumberOfMessages) {
+  ASSERT_NO_FATAL_FAILURE(connect(16));
+  for (const auto& client : clients) client->raw(messages("flood", 30));
+  std::size_t most = 0;
+  while (calls.size() < 480U) {
+    const std::size_t before = calls.size();
+    ASSERT_TRUE(fixed.step());
+    most = std::max(most, calls.size() - before);
+  }
+  EXPECT_LE(most, many.messages_per_turn);
+}
+
+TEST_F(FrontTurns, ConnectionsTakeTurns) {
+  ASSERT_NO_FATAL_FAILURE(connect(8));
+  for (std::size_t i = 0; i < 8; ++i) clients[i]->raw(messages(std::to_string(i), 30));
+  fixed.run_for(50ms);
+  ASSERT_EQ(calls.size(), 240U);
+  for (std::size_t i = 0; i < 8; ++i) EXPECT_LT(first_call_of(std::to_string(i)), 72) << i;
+}
+
 TEST_F(FrontTest, AbandonsCallsOfAClientThatDisconnects) {
   auto client = std::make_unique<PlatformClient>(net, kAt);
   client->call({{"n", "x"}}, "");
