front: what a client sent before it left is not begun

A client that closed its connection with much unread had its requests sent to workers afterwards: the front read on to the end of the stream, handled all it found, and reported the calls as abandoned only then.

The front asks the socket whether the peer has closed (io::Connection::peer_has_closed, POLLRDHUP) before it handles a connection's messages, and drops them then, with a log line.

ServerOnSockets.TreatsHalfCloseAsClientGone asserted the fault, that requests in front of the close are accepted and then reported as gone; it now asserts that open ones are reported as gone and that the last one is not begun. It and FrontTurns.MessagesOfAClientThatLeftAreNotHandled fail without the check.

--- a/src/base/io.h
+++ b/src/base/io.h
@@ -47,6 +47,8 @@
   // Calls on_bytes() with the unconsumed input now, if there is any and reading is not stopped. Not to be
   // called from within on_bytes().
   virtual void deliver_input() = 0;
+  // Whether the peer has closed its side or the connection broke, even if input sent before is still unread.
+  virtual bool peer_has_closed() const = 0;
   // Sends the unsent bytes and the end of the stream (FIN), then waits until the peer closes its side:
   // closing at once with unread input would send a reset, which can destroy the bytes just written. Further
   // input is discarded. The host limits the time, the bytes and the number of such connections. No event
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -25,6 +25,11 @@
   std::size_t on_bytes(std::string_view bytes) override {
     const Time now = server_.host_.now();
     has_sent_data_ = true, last_data_at_ = server_.last_received_ = now;
+    if (stream_->peer_has_closed()) {
+      server_.events_.on_anomaly("a client left before its messages were handled");
+      server_.drop(*this);
+      return bytes.size();
+    }
     const bool has_turn = server_.visited_ == this || (server_.waiting_.empty() && !server_.turn_is_over());
     if (!has_turn) return server_.wait_for_turn(*this), 0;
     std::size_t used = 0;
--- a/src/front/server.h
+++ b/src/front/server.h
@@ -19,8 +19,8 @@
 // in the connection's input for its next turn, and a turn of the event loop handles a bounded number in all,
 // so that clients which send without pause delay neither others nor timers.
 //
-// A client that closes its side counts as gone, even if it closed only its sending half: its earlier requests
-// are delivered first, then reported as abandoned.
+// A client that closes its side counts as gone, even if it closed only its sending half: its open calls are
+// reported as abandoned, and what it sent but was not handled yet is dropped.
 #pragma once
 
 #include <deque>
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -215,6 +216,10 @@
       bufferevent_trigger(stream_.get(), EV_READ, BEV_OPT_DEFER_CALLBACKS);
   }
   void deliver_input() override { on_read(stream_.get(), this); }
+  bool peer_has_closed() const override {
+    pollfd polled{bufferevent_getfd(stream_.get()), POLLRDHUP, 0};
+    return closed_ || (poll(&polled, 1, 0) > 0 && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
+  }
   void finish() override {
     if (std::exchange(closed_, true)) return;
     if (!open_) return;
--- a/src/policy/greedy_matching.h
+++ b/src/policy/greedy_matching.h
@@ -45,7 +45,7 @@
 struct GreedyMatching {
   std::vector<PlacementTarget> targets;
   std::vector<std::size_t> by_load;  // indices of all functions given, the one with the most load first
-  std::size_t steps = 0;  // functions and candidates looked at, as a measure of the work
+  std::size_t steps = 0;             // functions and candidates looked at, as a measure of the work
 };
 
 // `workers` is sorted by id. A target has at most `max_instances` instances.
--- a/src/sim/network.cpp
+++ b/src/sim/network.cpp
@@ -43,6 +43,7 @@
       net_.after(Duration(0), [net = &net_, link = link_, end = end_] { net->deliver(link, end); });
   }
   void deliver_input() override { net_.deliver(link_, end_); }
+  bool peer_has_closed() const override { return link_->closed; }
   void finish() override {
     link_->ends[end_].events = nullptr;
     if (link_->closed || std::exchange(finished_, true)) return;
--- a/src/standin/broker.cpp
+++ b/src/standin/broker.cpp
@@ -131,6 +131,7 @@
     std::size_t unsent() const override { return inner_->unsent() + owner_.unsent_.size(); }
     void read(bool enabled) override { inner_->read(enabled); }
     void deliver_input() override { inner_->deliver_input(); }
+    bool peer_has_closed() const override { return inner_->peer_has_closed(); }
     void finish() override { inner_->finish(); }
 
    private:
--- a/tests/front/front_test.cpp
+++ b/tests/front/front_test.cpp
@@ -299,6 +299,18 @@
   for (std::size_t i = 0; i < 8; ++i) EXPECT_LT(first_call_of(std::to_string(i)), 72) << i;
 }
 
+// What a client sent before it left is not begun for nobody, on a worker.
+TEST_F(FrontTurns, MessagesOfAClientThatLeftAreNotHandled) {
+  ASSERT_NO_FATAL_FAILURE(connect(1));
+  clients[0]->raw(messages("gone", 30));
+  while (calls.empty()) fixed.step();
+  clients[0]->disconnect();
+  fixed.run_for(50ms);
+  EXPECT_EQ(calls.size(), many.messages_per_visit);
+  EXPECT_EQ(abandoned.size(), calls.size());
+  EXPECT_EQ(turns.connections(), 0U);
+}
+
 TEST_F(FrontTest, AbandonsCallsOfAClientThatDisconnects) {
   auto client = std::make_unique<PlatformClient>(net, kAt);
   client->call({{"n", "x"}}, "");
--- a/tests/node/race_test.cpp
+++ b/tests/node/race_test.cpp
@@ -130,12 +130,14 @@
   EXPECT_EQ(reply_kinds(client.read()).size(), calls.size());
 }
 
-// A client that half-closes its connection is gone: requests sent before that are accepted and then
-// reported as gone.
+// A client that half-closes its connection is gone: its open requests are reported as gone, and what it sent
+// right before the close is not begun.
 TEST_F(ServerOnSockets, TreatsHalfCloseAsClientGone) {
   RawSocket client(server.address());
   client.write(PlatformClient::call_bytes(1, {{"n", "1"}}, "") +
                PlatformClient::call_bytes(2, {{"n", "2"}}, ""));
+  ASSERT_TRUE(run_until([&] { return calls.size() == 2; }));
+  client.write(PlatformClient::call_bytes(3, {{"n", "3"}}, ""));
   client.half_close();
   ASSERT_TRUE(run_until([&] { return gone == 2; }));
   EXPECT_EQ(calls.size(), 2U);
