front: clients that do not read are held back, and all clients share one memory bound

A process passed its memory limit when clients read none of their answers while they sent on, or stopped in the middle of large requests: unsent answers were bounded by 1 MiB a connection and looked at each 250 ms, reading went on meanwhile, and nothing bounded all connections together.

Past 128 KiB of unsent answers a connection is not read, so its client's own window fills; after 2 s it is closed. Unhandled input and unsent answers of all clients count against an eighth of the memory limit; at it the connection that holds the most is closed, without lingering if it does not read.

The simulated network honours read_ahead and delivers what came while reading was off, which the tests need. FrontTest.DoesNotReadFromAClientThatDoesNotReadItsAnswers, .ReadsOnOnceTheAnswersAreRead and .HalfRequestsOfAllClientsAreBoundedTogether fail without their guards.

--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -23,6 +23,15 @@
         last_data_at_(opened_at_) {}
 
   std::size_t on_bytes(std::string_view bytes) override {
+    const std::size_t used = handle_input(bytes);
+    input_bytes_ = stream_ ? bytes.size() - used : 0;
+    server_.limit_buffered_bytes_after(*this);
+    return used;
+  }
+  void on_drained() override {
+    if (stream_ && std::exchange(held_back_since_, std::nullopt)) stream_->read(true);
+  }
+  std::size_t handle_input(std::string_view bytes) {
     const Time now = server_.host_.now();
     has_sent_data_ = true, last_data_at_ = server_.last_received_ = now;
     if (stream_->peer_has_closed()) {
@@ -69,6 +78,7 @@
     ticket_by_number_.erase(number);
     write_reply(scratch_, number, reply);
     flush();
+    server_.limit_buffered_bytes_after(*this);
   }
 
   void end() {
@@ -84,6 +94,8 @@
     if (partial_frame_since_ && now - *partial_frame_since_ >= server_.options_.frame_timeout)
       return "half a frame";
     if (stream_->unsent() > server_.options_.max_unsent_bytes) return "it does not read its answers";
+    if (held_back_since_ && now - *held_back_since_ >= server_.options_.frame_timeout)
+      return "it does not read its answers in time";
     return nullptr;
   }
   void close_with_error(const std::string& why) {
@@ -94,7 +106,8 @@
     Reply reply;
     reply.kind = Reply::Kind::kException, reply.text = why;
     write_reply(scratch_, 0, reply);  // number 0 belongs to no request
-    if (stream_->unsent() <= server_.options_.max_unsent_bytes) {
+    // A client that does not read would only keep the memory.
+    if (stream_->unsent() <= server_.options_.pause_unsent_bytes) {
       stream_->write(scratch_);
       stream_->finish();
     }
@@ -106,7 +119,9 @@
     if (stream_) stream_->finish();
   }
   std::size_t unsent() const { return stream_ ? stream_->unsent() : 0; }
-  bool is_waiting = false;  // in Server::waiting_
+  std::size_t buffered_bytes() const { return input_bytes_ + unsent(); }
+  std::size_t counted_bytes = 0;  // of Server::counted_bytes_
+  bool is_waiting = false;        // in Server::waiting_
   bool has_open_calls() const { return !number_by_ticket_.empty(); }
   bool has_sent_data() const { return has_sent_data_; }
   Time last_data_at() const { return last_data_at_; }
@@ -179,6 +194,9 @@
   void flush() {
     if (stream_) stream_->write(scratch_);
     scratch_.clear();
+    if (!stream_ || held_back_since_ || stream_->unsent() <= server_.options_.pause_unsent_bytes) return;
+    held_back_since_ = server_.host_.now();
+    stream_->read(false);
   }
 
   Server& server_;
@@ -186,6 +204,8 @@
   Time opened_at_, last_data_at_;
   bool has_sent_data_ = false;
   std::optional<Time> partial_frame_since_;
+  std::optional<Time> held_back_since_;  // not reading, since it does not read its answers
+  std::size_t input_bytes_ = 0;          // not handled yet
   std::int32_t highest_number_ = 0;
   std::map<Ticket, std::int32_t> number_by_ticket_;
   std::map<std::int32_t, Ticket> ticket_by_number_;
@@ -258,9 +278,34 @@
   return bytes;
 }
 
+std::size_t Server::buffered_bytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [c, owned] : connections_) bytes += c->buffered_bytes();
+  return bytes;
+}
+
+// Counts what the connection holds now. Answers are sent without notice, so the sum is brought up to date
+// before anything is closed for it.
+void Server::limit_buffered_bytes_after(Connection& connection) {
+  if (!connections_.contains(&connection)) return;
+  counted_bytes_ += connection.buffered_bytes() - connection.counted_bytes;
+  connection.counted_bytes = connection.buffered_bytes();
+  if (counted_bytes_ <= options_.max_buffered_bytes) return;
+  counted_bytes_ = 0;
+  Connection* largest = nullptr;
+  for (const auto& [c, owned] : connections_) {
+    c->counted_bytes = c->buffered_bytes();
+    counted_bytes_ += c->counted_bytes;
+    if (!largest || c->counted_bytes > largest->counted_bytes) largest = c;
+  }
+  if (counted_bytes_ > options_.max_buffered_bytes)
+    largest->close_with_error("it holds the most memory of all, and no more is to be had");
+}
+
 void Server::drop(Connection& connection) {
   const auto it = connections_.find(&connection);
   if (it == connections_.end()) return;
+  counted_bytes_ -= connection.counted_bytes;
   std::unique_ptr<Connection> owned = std::move(it->second);
   connections_.erase(it);
   if (owned->is_waiting) std::erase(waiting_, owned.get());
--- a/src/front/server.h
+++ b/src/front/server.h
@@ -12,8 +12,11 @@
 //   no byte within `first_byte_timeout`, or a partial frame for `frame_timeout`: as for an unparsable message
 // Above `max_connections`, the connection that has been idle longest without open calls is closed; if all
 // have open calls, the new one is rejected.
-// A client that does not read its answers is disconnected once `max_unsent_bytes`
-// are pending.
+// While more than `pause_unsent_bytes` of answers are pending on a connection, its messages are not read: its
+// client's own window fills. It is closed once `max_unsent_bytes` are pending, or if it is held back for
+// `frame_timeout`.
+// All input that is not handled and all answers that are not sent count against `max_buffered_bytes`; at that
+// limit the connection that holds the most is closed.
 //
 // Connections take turns: each handles a few messages, then the next one. Whole messages that are left wait
 // in the connection's input for its next turn, and a turn of the event loop handles a bounded number in all,
@@ -35,11 +38,13 @@
 
 struct ServerOptions {
   std::size_t max_connections = 256;
-  std::size_t max_open_calls = 32;          // per connection
-  std::size_t max_cancels_per_second = 64;  // per connection
-  std::size_t max_unsent_bytes = 1U << 20;
-  std::size_t messages_per_visit = 8;  // of one connection, before the next one has its turn
-  std::size_t messages_per_turn = 64;  // of all connections, before timers and other input
+  std::size_t max_open_calls = 32;              // per connection
+  std::size_t max_cancels_per_second = 64;      // per connection
+  std::size_t pause_unsent_bytes = 128U << 10;  // per connection; above the host's low watermark
+  std::size_t max_unsent_bytes = 1U << 20;      // per connection
+  std::size_t max_buffered_bytes = 4U << 20;    // of all connections
+  std::size_t messages_per_visit = 8;           // of one connection, before the next one has its turn
+  std::size_t messages_per_turn = 64;           // of all connections, before timers and other input
   Duration max_turn = std::chrono::milliseconds(5);
   Duration first_byte_timeout = std::chrono::milliseconds(2000);
   Duration frame_timeout = std::chrono::milliseconds(2000);
@@ -72,6 +77,7 @@
   std::size_t connections() const { return connections_.size(); }
   std::size_t open_calls() const { return tickets_.size(); }
   std::size_t unsent() const;                            // bytes of answers not yet accepted by the sockets
+  std::size_t buffered_bytes() const;                    // unsent answers and input not yet handled
   Time last_received() const { return last_received_; }  // when a client last sent data
 
  private:
@@ -79,6 +85,7 @@
   io::ConnectionEvents* accept(std::unique_ptr<io::Connection> stream);
   bool close_longest_idle();
   void drop(Connection& connection);
+  void limit_buffered_bytes_after(Connection& connection);
   void sweep();
   void start_turn_timer();
   void wait_for_turn(Connection& connection);
@@ -98,6 +105,8 @@
   std::size_t messages_this_turn_ = 0;
   std::deque<Connection*> waiting_;  // connections with whole messages, in the order of their next turns
   Connection* visited_ = nullptr;    // whose turn it is
+  // Sum over all connections of what they held when last handled or answered: at least buffered_bytes().
+  std::size_t counted_bytes_ = 0;
   Time last_received_{};
   Ticket next_ticket_ = 1;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -33,6 +33,9 @@
 constexpr std::size_t kReservedDescriptors = 24;
 constexpr double kClientSocketShare =
     0.45;  // of the other descriptors; well-behaved clients hold a third of all
+// Of the memory limit, for unhandled input and unsent answers of clients. The host's buffers take up to twice
+// what they hold.
+constexpr double kClientBufferShare = 0.125;
 // Clients can name any number of functions. An entry of the module takes about half a kilobyte.
 constexpr std::size_t kFunctionsPerMb = 256;
 constexpr std::size_t kFunctionNamesPerMb = 512;
@@ -46,6 +49,8 @@
 front::ServerOptions front_options(const Config& config) {
   front::ServerOptions options;
   options.max_connections = socket_share(config.limits, kClientSocketShare);
+  options.max_buffered_bytes =
+      static_cast<std::size_t>(kClientBufferShare * static_cast<double>(config.limits.memory_mb << 20));
   return options;
 }
 
@@ -420,7 +425,7 @@
   line << " longest_turn_ms="
        << std::chrono::duration_cast<std::chrono::milliseconds>(host_.take_longest_turn()).count()
        << " functions=" << tables.functions << " placements=" << tables.placements
-       << " ended_ids=" << ended_ids_.size() << " client_unsent=" << front_.unsent()
+       << " ended_ids=" << ended_ids_.size() << " client_buffered=" << front_.buffered_bytes()
        << " open_body_bytes=" << open_body_bytes_;
   log_line_(Severity::kInfo, line.str());
   for (auto& [kind, count] : anomaly_counts_)
--- a/src/sim/network.cpp
+++ b/src/sim/network.cpp
@@ -14,6 +14,7 @@
     std::string inbox;                       // arrived and not consumed yet
     std::string in_transit;                  // sent by the other end, not arrived yet
     Time last_arrival{};
+    std::size_t read_ahead = io::StreamOptions{}.read_ahead;
     bool reading = true;
     bool arrival_scheduled = false;
   };
@@ -39,10 +40,14 @@
   std::size_t unsent() const override { return link_->ends[1 - end_].in_transit.size(); }
   void read(bool enabled) override {
     link_->ends[end_].reading = enabled;
-    if (enabled)
-      net_.after(Duration(0), [net = &net_, link = link_, end = end_] { net->deliver(link, end); });
+    if (!enabled) return;
+    net_.after(Duration(0), [net = &net_, link = link_, end = end_] { net->deliver(link, end); });
+    net_.schedule_arrival(link_, end_);  // of bytes that came meanwhile
+  }
+  void deliver_input() override {
+    const std::shared_ptr<Link> link = link_;  // on_bytes() may destroy this connection
+    net_.deliver(link, end_);
   }
-  void deliver_input() override { net_.deliver(link_, end_); }
   bool peer_has_closed() const override { return link_->closed; }
   void finish() override {
     link_->ends[end_].events = nullptr;
@@ -83,14 +88,15 @@
 
 class Network::SimListener : public io::Listener {
  public:
-  SimListener(Network& net, io::Address at, Accept accept)
-      : accept(std::move(accept)), net_(net), at_(std::move(at)) {
+  SimListener(Network& net, io::Address at, std::size_t read_ahead_bytes, Accept accept)
+      : accept(std::move(accept)), read_ahead(read_ahead_bytes), net_(net), at_(std::move(at)) {
     net_.listeners_[at_] = this;
   }
   ~SimListener() override { net_.listeners_.erase(at_); }
   io::Address address() const override { return at_; }
   void take_backlog() override {}  // empty: accept() is called as soon as a connection is made
   Accept accept;
+  std::size_t read_ahead;  // of accepted connections
 
  private:
   Network& net_;
@@ -125,6 +131,7 @@
   auto link = std::make_shared<Link>();
   link->to = to;
   link->ends[0].events = &events;
+  link->ends[0].read_ahead = options.read_ahead;
   links_.insert(link);
   const auto delay_entry = connect_delays_.find(to);
   const Duration extra_delay = delay_entry == connect_delays_.end() ? Duration(0) : delay_entry->second;
@@ -137,6 +144,7 @@
     const auto listener = listeners_.find(link->to);
     if (listener == listeners_.end()) return close(link, 0, io::CloseReason::kNeverOpened);
     link->open = true;
+    link->ends[1].read_ahead = listener->second->read_ahead;
     io::ConnectionEvents* server_events =
         listener->second->accept(std::make_unique<SimConnection>(*this, link, 1));
     link->ends[1].events = server_events;
@@ -150,12 +158,12 @@
   return std::make_unique<SimConnection>(*this, link, 0);
 }
 
-std::unique_ptr<io::Listener> Network::listen(const io::Address& at, const io::StreamOptions&,
+std::unique_ptr<io::Listener> Network::listen(const io::Address& at, const io::StreamOptions& options,
                                               Accept accept) {
   io::Address bound_address = at;
   if (bound_address.port == 0) bound_address.port = next_port_++;
   if (listeners_.contains(bound_address)) return nullptr;
-  return std::make_unique<SimListener>(*this, bound_address, std::move(accept));
+  return std::make_unique<SimListener>(*this, bound_address, options.read_ahead, std::move(accept));
 }
 
 void Network::schedule_arrival(const std::shared_ptr<Link>& link, int receiver) {
@@ -167,9 +175,11 @@
     Link::End& receiving_end = link->ends[receiver];
     receiving_end.arrival_scheduled = false;
     if (link->closed) return;
-    if (silent_addresses_.contains(link->to) || !receiving_end.reading)
+    const std::size_t room =
+        receiving_end.read_ahead - std::min(receiving_end.read_ahead, receiving_end.inbox.size());
+    if (silent_addresses_.contains(link->to) || !receiving_end.reading || room == 0)
       return;  // stays in transit: unsent() counts it
-    std::size_t count = receiving_end.in_transit.size();
+    std::size_t count = std::min(receiving_end.in_transit.size(), room);
     if (options_.max_segment_bytes > 0)
       count = std::min<std::size_t>(count, 1 + random() % options_.max_segment_bytes);
     receiving_end.inbox.append(receiving_end.in_transit, 0, count);
@@ -191,6 +201,7 @@
   end.inbox.clear();
   const std::size_t consumed = end.events->on_bytes(bytes);
   end.inbox.insert(0, bytes, consumed, std::string::npos);
+  if (consumed > 0 && !link->closed) schedule_arrival(link, receiver);
 }
 
 void Network::close(const std::shared_ptr<Link>& link, int notified_end, io::CloseReason reason) {
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -203,6 +203,8 @@
   void health();
   void raw(std::string_view bytes);
   void disconnect() { connection_.reset(); }
+  void stop_reading() { connection_->read(false); }
+  void resume_reading() { connection_->read(true); }
   // The bytes of a call under any number, for requests that a correct client never sends.
   static std::string call_bytes(std::int32_t number, const std::map<std::string, std::string>& fields,
                                 const std::string& body);
--- a/tests/front/front_test.cpp
+++ b/tests/front/front_test.cpp
@@ -311,6 +311,68 @@
   EXPECT_EQ(turns.connections(), 0U);
 }
 
+// ---- Memory -------------------------------------------------------------------------------------------
+
+// A client that sends on and reads none of its answers is held back, then closed.
+TEST_F(FrontTest, DoesNotReadFromAClientThatDoesNotReadItsAnswers) {
+  PlatformClient client(net, kAt);
+  net.run_for(10ms);
+  client.raw(PlatformClient::call_bytes(1, {{"n", "x"}}, ""));
+  net.run_for(10ms);
+  ASSERT_EQ(calls.size(), 1U);
+  Reply large;
+  large.kind = Reply::Kind::kServed, large.body = std::string(200'000, 'x');
+  client.stop_reading();
+  server.respond(calls[0].first, large);
+  for (std::int32_t n = 2; n <= 20; ++n) client.raw(PlatformClient::call_bytes(n, {{"n", "x"}}, ""));
+  net.run_for(1s);
+  EXPECT_EQ(calls.size(), 1U);
+  EXPECT_EQ(server.connections(), 1U);
+  net.run_for(2s);
+  EXPECT_EQ(server.connections(), 0U);
+}
+
+TEST_F(FrontTest, ReadsOnOnceTheAnswersAreRead) {
+  PlatformClient client(net, kAt);
+  client.raw(PlatformClient::call_bytes(1, {{"n", "x"}}, ""));
+  net.run_for(10ms);
+  Reply large;
+  large.kind = Reply::Kind::kServed, large.body = std::string(200'000, 'x');
+  client.stop_reading();
+  server.respond(calls[0].first, large);
+  client.raw(PlatformClient::call_bytes(2, {{"n", "x"}}, ""));
+  net.run_for(500ms);
+  EXPECT_EQ(calls.size(), 1U);
+  client.resume_reading();
+  net.run_for(100ms);
+  EXPECT_EQ(calls.size(), 2U);
+  EXPECT_EQ(client.replies().size(), 1U);
+  EXPECT_TRUE(client.open());
+}
+
+// Many clients stop in the middle of a large request.
+TEST_F(FrontTest, HalfRequestsOfAllClientsAreBoundedTogether) {
+  ServerOptions small;
+  small.max_connections = 100;
+  small.max_buffered_bytes = 200'000;
+  const io::Address at{"127.0.0.1", 6566};
+  Server bounded(net, small, *this);
+  ASSERT_TRUE(bounded.listen(at));
+  const std::string half =
+      PlatformClient::call_bytes(1, {{"n", "x"}}, std::string(15'000, 'x')).substr(0, 14'000);
+  std::vector<std::unique_ptr<PlatformClient>> all;
+  PlatformClient sound(net, at);
+  sound.call({{"n", "sound"}}, "");
+  for (int i = 0; i < 60; ++i) {
+    all.push_back(std::make_unique<PlatformClient>(net, at));
+    all.back()->raw(half);
+    net.run_for(2ms);
+    ASSERT_LE(bounded.buffered_bytes(), small.max_buffered_bytes);
+  }
+  EXPECT_GE(bounded.connections(), 14U);
+  EXPECT_TRUE(sound.open());
+}
+
 TEST_F(FrontTest, AbandonsCallsOfAClientThatDisconnects) {
   auto client = std::make_unique<PlatformClient>(net, kAt);
   client->call({{"n", "x"}}, "");
