platform: another process under a worker's name or at its address is a new worker

A new process that came up under the name of one that had gone, at another address or with a later start, kept the old one's worker id while its name stayed listed: as long as the old link was in use, calls went on to the old address, and estimates and connections were carried over. A replay of all events already made the difference; single events did not. A worker whose address another one took, without being told as gone, kept getting work that reached the new process under the old name.

A name whose entry tells another address or start gets a new id and the old id is gone; a listed worker whose address a new one has gets nothing new. A drain told without the start time is about the same process.

InvokerList.AnotherProcessUnderTheNameIsANewWorker and ReplacedWorker.UnderTheSameNameGetsTheCallsAtItsOwnAddress (a node in virtual time) fail without the first, InvokerList.AWorkerWhoseAddressAnotherTookGetsNothingNew without the second.

--- a/src/platform/invoker_list.cpp
+++ b/src/platform/invoker_list.cpp
@@ -1,5 +1,6 @@
 #include "platform/invoker_list.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace laureltide::platform {
@@ -43,6 +44,14 @@
   return member;
 }
 
+// Whether an entry under a listed name can be about the process listed. A process keeps its address, and the
+// time of its start where both entries tell one; a drained process may be told without it.
+bool may_be_same_process(const members::Member& listed, const members::Member& told) {
+  if (told.state == WorkerState::kGone) return true;
+  return told.address == listed.address &&
+         (!told.started_unix_ms || told.started_unix_ms == listed.started_unix_ms);
+}
+
 // A parsed event: its entries by invoker name.
 struct ParsedEvent {
   bool full = false;
@@ -98,6 +107,7 @@
   result.update.version = number;
   result.update.from = last_event_;
   const Members previous = members_;
+  first_new_id_ = next_id_;
   Members before;
   if (event.full) before.swap(members_);
   for (auto& [name, member] : event.entries) {
@@ -111,20 +121,45 @@
       result.why = "more invokers than can be held";
       continue;
     }
-    member.id = current ? current->id : next_id_++;
     if (current && member.address.port == 0) member.address = current->address;
+    const bool replaced = current && !may_be_same_process(*current, member);
+    if (replaced) {
+      members::Member gone = *current;
+      gone.state = WorkerState::kGone;
+      result.update.members.push_back(std::move(gone));
+    }
+    member.id = current && !replaced ? current->id : next_id_++;
     result.update.members.push_back(member);
     if (member.state == WorkerState::kGone)
       members_.erase(name), before.erase(name);
     else
       members_[name] = std::move(member);
   }
+  if (!event.full) retire_displaced(result.update);
   last_event_ = number;
   result.changes = changes(previous, members_);
   result.verdict = Verdict::kApplied;
   return result;
 }
 
+// A worker that is new in the update has its address for itself: what was listed there before is another
+// process that has gone, whether or not that was told, so it gets nothing new.
+void InvokerList::retire_displaced(members::Update& update) {
+  const std::vector<members::Member> told = update.members;
+  const auto is_told = [&](std::uint32_t id) {
+    return std::any_of(told.begin(), told.end(), [&](const members::Member& m) { return m.id == id; });
+  };
+  for (const members::Member& fresh : told) {
+    if (fresh.state == WorkerState::kGone || fresh.id < first_new_id_) continue;
+    for (auto& [name, member] : members_) {
+      if (member.address != fresh.address || is_told(member.id) || member.state != WorkerState::kReady)
+        continue;
+      member.state = WorkerState::kDraining;
+      update.members.push_back(member);
+    }
+  }
+}
+
 // Compares two lists, both sorted by name.
 std::vector<InvokerList::Change> InvokerList::changes(const Members& before, const Members& after) {
   std::vector<Change> all;
@@ -134,7 +169,7 @@
     const auto current = before.find(name);
     if (current == before.end())
       all.push_back({name, member.id, std::nullopt, member.state});
-    else if (current->second.state != member.state)
+    else if (current->second.id != member.id || current->second.state != member.state)
       all.push_back({name, member.id, current->second.state, member.state});
   }
   return all;
--- a/src/platform/invoker_list.h
+++ b/src/platform/invoker_list.h
@@ -2,7 +2,8 @@
 //
 // The platform names invokers by strings; the decision module and the core use numeric worker ids. A name
 // gets an id when it first appears, and an id is never reused. A name that has left loses its id, so an
-// invoker that returns under the same name counts as a new worker.
+// invoker that returns under the same name counts as a new worker. So does one whose entry tells another
+// address or start: calls, connections and estimates of the old process are not carried over.
 //
 // Events are changes, each based on the one before. A missing or unreadable event may have announced a drain,
 // so it is not skipped: the owner requests all events again from the first one, which holds the full list
@@ -61,10 +62,12 @@
     Members members;
   };
   ApplyResult apply_replayed(std::uint64_t number, std::string_view data);
+  void retire_displaced(members::Update& update);
   static std::vector<Change> changes(const Members& before, const Members& after);
 
   Members members_;
   std::uint32_t next_id_ = 1;
+  std::uint32_t first_new_id_ = 1;  // ids from here on are new with the event that is being applied
   std::uint64_t last_event_ = 0;
   std::optional<Replay> replay_;
 };
--- a/tests/node/flood_test.cpp
+++ b/tests/node/flood_test.cpp
@@ -68,5 +68,31 @@
   EXPECT_TRUE(is_served(client, number));
 }
 
+// ---- A new process at the address, or under the name, of an old one -----------------------------------
+
+struct ReplacedWorker : NodeFlood {
+  PlatformInvoker replacement{net, {{"127.0.0.1", 7002}, 20ms, 20ms, 64, {}}};
+};
+
+// The old process holds a call open, so its connections are in use all the time.
+TEST_F(ReplacedWorker, UnderTheSameNameGetsTheCallsAtItsOwnAddress) {
+  ASSERT_NO_FATAL_FAILURE(start());
+  ASSERT_TRUE(replacement.start());
+  PlatformClient client(net, kListen);
+  call(client, 0xf1);
+  net.run_for(200ms);
+  worker.inject_fault(standin::InjectedFault::kNoAnswer, 1);
+  call(client, 0xf1);
+  net.run_for(50ms);
+  bus.publish({{"s-1", replacement.address(), "active", 0, 0}});
+  net.run_for(50ms);
+  const std::size_t at_the_old_one = worker.calls().size();
+  const std::int32_t number = call(client, 0xf1);
+  net.run_for(500ms);
+  EXPECT_TRUE(is_served(client, number));
+  EXPECT_EQ(worker.calls().size(), at_the_old_one);
+  EXPECT_FALSE(replacement.calls().empty());
+}
+
 }  // namespace
 }  // namespace laureltide::node
--- a/tests/platform/feed_test.cpp
+++ b/tests/platform/feed_test.cpp
@@ -296,6 +296,44 @@
   EXPECT_NE(returned.update.members[0].id, returned.update.members[1].id);
 }
 
+// A process is told by its name, address and start. Another one under the name, or at the address, is a new
+// worker; the old one gets nothing new.
+TEST(InvokerList, AnotherProcessUnderTheNameIsANewWorker) {
+  InvokerList invokers;
+  const auto first = invokers.take(1, platform_event(1, true, {invoker("a", "active", 7001)}));
+  const std::uint32_t old_id = first.update.members[0].id;
+  PlatformMember moved = invoker("a", "active", 7002);
+  const auto after_move = invokers.take(2, platform_event(2, false, {moved}));
+  ASSERT_EQ(after_move.update.members.size(), 2U);
+  EXPECT_EQ(after_move.update.members[0].id, old_id);
+  EXPECT_EQ(after_move.update.members[0].state, WorkerState::kGone);
+  const std::uint32_t moved_id = after_move.update.members[1].id;
+  EXPECT_NE(moved_id, old_id);
+  EXPECT_EQ(after_move.changes.size(), 1U);
+  moved.up_since_ms = 1'700'000'000'000;
+  const auto after_restart = invokers.take(3, platform_event(3, false, {moved}));
+  ASSERT_EQ(after_restart.update.members.size(), 2U);
+  EXPECT_EQ(after_restart.update.members[0].id, moved_id);
+  const std::uint32_t restarted_id = after_restart.update.members[1].id;
+  EXPECT_NE(restarted_id, moved_id);
+  moved.phase = "leaving", moved.up_since_ms = 0;  // the same process drains
+  const auto after_drain = invokers.take(4, platform_event(4, false, {moved}));
+  ASSERT_EQ(after_drain.update.members.size(), 1U);
+  EXPECT_EQ(after_drain.update.members[0].id, restarted_id);
+}
+
+TEST(InvokerList, AWorkerWhoseAddressAnotherTookGetsNothingNew) {
+  InvokerList invokers;
+  const auto first =
+      invokers.take(1, platform_event(1, true, {invoker("a", "active", 7001), invoker("b", "active", 7002)}));
+  const std::uint32_t a = first.update.members[0].id;
+  const auto taken = invokers.take(2, platform_event(2, false, {invoker("c", "active", 7001)}));
+  ASSERT_EQ(taken.update.members.size(), 2U);
+  EXPECT_EQ(taken.update.members[1].id, a);
+  EXPECT_EQ(taken.update.members[1].state, WorkerState::kDraining);
+  EXPECT_EQ(invokers.worker_id_of("b"), first.update.members[1].id);
+}
+
 TEST(InvokerList, IgnoresOldGappedAndUnreadableEvents) {
   InvokerList invokers;
   invokers.take(4, platform_event(4, true, {invoker("a")}));
