front, node: a call's time counts from its arrival, not from when it was read

The node takes that much off the call's time.

HostileFlood.NodeThatStoodStillServesNothingLate (a real node, stopped for 0.7 s under a call) got 'served' after 1.65 s before, with 1.55 s allowed, and fails without either part; FrontTest.ArrivalOfACallCountsTheTimeItWaitedUnread fails without the time of the last empty read.

--- a/fuzz/front.cpp
+++ b/fuzz/front.cpp
@@ -15,7 +15,7 @@
   sim::Network net(options);
   struct Echo : front::Server::Events {
     front::Server* server = nullptr;
-    void on_call(front::Server::Ticket t, front::Fields, std::string body) override {
+    void on_call(front::Server::Ticket t, front::Fields, std::string body, Time) override {
       front::Reply reply;
       reply.kind = front::Reply::Kind::kServed, reply.body = std::move(body);
       server->respond(t, reply);
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -4,12 +4,15 @@
 #include <utility>
 
 #include "base/bytes.h"
+#include "front/input_age.h"
 
 namespace laureltide::front {
 namespace {
 
 constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kReadAhead = 2 * (kMaxFrameBytes + kLengthBytes);
 constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
+constexpr Duration kSweepTolerance = std::chrono::milliseconds(50);
 constexpr Duration kCancelWindow = std::chrono::seconds(1);
 
 }  // namespace
@@ -23,7 +26,14 @@
         last_data_at_(opened_at_) {}
 
   std::size_t on_bytes(std::string_view bytes) override {
+    const Time now = server_.host_.now();
+    // With a full buffer nothing was read, so what is read next may have come since the buffer was last
+    // filled.
+    input_age_.on_input(bytes.size(), was_full_ ? last_read_at_ : server_.input_bound(now));
+    was_full_ = bytes.size() >= kReadAhead || held_back_since_.has_value();
+    if (!was_full_) last_read_at_ = now;
     const std::size_t used = handle_input(bytes);
+    input_age_.on_handled(used);
     input_bytes_ = stream_ ? bytes.size() - used : 0;
     server_.limit_buffered_bytes_after(*this);
     return used;
@@ -55,7 +65,7 @@
       used += kLengthBytes + frame.message.size();
       server_.start_turn_timer();
       ++server_.messages_this_turn_;
-      on_message(parse(frame.message));
+      on_message(parse(frame.message), input_age_.arrival_of(used - 1));
     }
     if (!stream_) return bytes.size();
     if (used == bytes.size())
@@ -142,7 +152,7 @@
     return frame;
   }
 
-  void on_message(Parsed parsed) {
+  void on_message(Parsed parsed, Time arrived) {
     Request& request = parsed.request;
     switch (parsed.kind) {
       case Parsed::Kind::kBad: return close_with_error("no message: " + parsed.why);
@@ -174,7 +184,7 @@
     number_by_ticket_[ticket] = request.number;
     ticket_by_number_[request.number] = ticket;
     server_.tickets_[ticket] = this;
-    server_.events_.on_call(ticket, std::move(request.fields), std::move(request.body));
+    server_.events_.on_call(ticket, std::move(request.fields), std::move(request.body), arrived);
   }
 
   void on_cancel(std::int32_t number) {
@@ -196,6 +206,7 @@
     scratch_.clear();
     if (!stream_ || held_back_since_ || stream_->unsent() <= server_.options_.pause_unsent_bytes) return;
     held_back_since_ = server_.host_.now();
+    was_full_ = true;
     stream_->read(false);
   }
 
@@ -206,6 +217,9 @@
   std::optional<Time> partial_frame_since_;
   std::optional<Time> held_back_since_;  // not reading, since it does not read its answers
   std::size_t input_bytes_ = 0;          // not handled yet
+  InputAge input_age_;
+  bool was_full_ = false;  // when last read: more may wait in the socket
+  Time last_read_at_{};    // when the socket was last read empty
   std::int32_t highest_number_ = 0;
   std::map<Ticket, std::int32_t> number_by_ticket_;
   std::map<std::int32_t, Ticket> ticket_by_number_;
@@ -225,9 +239,10 @@
 
 bool Server::listen(const io::Address& at) {
   io::StreamOptions options;
-  options.read_ahead = 2 * (kMaxFrameBytes + kLengthBytes);
+  options.read_ahead = kReadAhead;
   listener_ =
       host_.listen(at, options, [this](std::unique_ptr<io::Connection> s) { return accept(std::move(s)); });
+  last_run_ = host_.now();
   if (listener_) sweep_->start(kSweepInterval);
   return listener_ != nullptr;
 }
@@ -319,6 +334,18 @@
   if (!std::exchange(turn_timer_started_, true)) turn_timer_->start(Duration(0));
 }
 
+// The earliest time at which input that is read now can have arrived. While the loop runs, input is read as
+// it comes, and the sweep's timer runs at its interval. If nothing ran for longer, the process stood still or
+// was busy, and all input found after that may have come since.
+Time Server::input_bound(Time now) {
+  if (now - last_run_ > kSweepInterval + kSweepTolerance) {
+    input_bound_ = last_run_;
+    bound_ends_ = now + kSweepTolerance;
+  }
+  last_run_ = now;
+  return now < bound_ends_ ? input_bound_ : now;
+}
+
 void Server::wait_for_turn(Connection& connection) {
   if (!std::exchange(connection.is_waiting, true)) waiting_.push_back(&connection);
   start_turn_timer();
@@ -342,6 +369,7 @@
 void Server::sweep() {
   sweep_->start(kSweepInterval);
   const Time now = host_.now();
+  input_bound(now);
   std::vector<std::pair<Connection*, const char*>> overdue;
   for (const auto& [c, owned] : connections_)
     if (const char* why = c->overdue(now)) overdue.emplace_back(c, why);
--- a/src/front/server.h
+++ b/src/front/server.h
@@ -57,8 +57,8 @@
   class Events {
    public:
     virtual ~Events() = default;
-    // Answer it with respond(), now or later.
-    virtual void on_call(Ticket ticket, Fields fields, std::string body) = 0;
+    // Answer it with respond(), now or later. The call's last byte arrived at `arrived`, or somewhat later.
+    virtual void on_call(Ticket ticket, Fields fields, std::string body, Time arrived) = 0;
     // The call was cancelled or its connection ended; respond() has no effect any more.
     virtual void on_gone(Ticket ticket) = 0;
     virtual bool healthy() = 0;
@@ -90,6 +90,7 @@
   void start_turn_timer();
   void wait_for_turn(Connection& connection);
   void run_turn();
+  Time input_bound(Time now);
   bool turn_is_over() const { return messages_this_turn_ >= options_.messages_per_turn; }
 
   io::Host& host_;
@@ -107,6 +108,9 @@
   Connection* visited_ = nullptr;    // whose turn it is
   // Sum over all connections of what they held when last handled or answered: at least buffered_bytes().
   std::size_t counted_bytes_ = 0;
+  Time last_run_{};     // any event of this server
+  Time input_bound_{};  // input read before `bound_ends_` may be as old as this
+  Time bound_ends_{};
   Time last_received_{};
   Ticket next_ticket_ = 1;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -245,12 +245,16 @@
   front_.respond(ticket, reply);
 }
 
-void Node::on_call(front::Server::Ticket ticket, front::Fields fields, std::string body) {
+void Node::on_call(front::Server::Ticket ticket, front::Fields fields, std::string body, Time arrived) {
   using Kind = front::Reply::Kind;
   ParsedCall parsed = parse_call(fields, std::move(body), *settings_);
   if (!parsed.call) return reject_call(ticket, Kind::kException, std::move(parsed.error));
   if (tickets_by_id_.contains(parsed.id) || ended_ids_.contains(parsed.id))
     return reject_call(ticket, Kind::kException, "call: an id that is open or was so just now");
+  // The client's time counts from the arrival. A call that waited here for longer than that is refused by the
+  // module at once.
+  if (parsed.call->timeout)
+    parsed.call->timeout = std::max(Duration(0), *parsed.call->timeout - (host_.now() - arrived));
   if (on_drained_) {  // must be answered before SIGKILL, however late it was read
     const Duration left = kill_deadline_ - host_.now();
     parsed.call->timeout = std::min(parsed.call->timeout.value_or(left), left);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -50,7 +50,7 @@
   std::size_t unsent_bytes() const { return front_.unsent(); }
 
   // ---- front::Server::Events ----
-  void on_call(front::Server::Ticket ticket, front::Fields fields, std::string body) override;
+  void on_call(front::Server::Ticket ticket, front::Fields fields, std::string body, Time arrived) override;
   void on_gone(front::Server::Ticket ticket) override;
   bool healthy() override { return !on_drained_; }
   void on_anomaly(const std::string& what) override;
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -60,6 +60,7 @@
     faults_.insert(faults_.end(), static_cast<std::size_t>(times), fault);
   }
   void answer_all(std::uint8_t code) { fixed_answer_ = code; }  // 0: the usual answers
+  void set_run(Duration run) { options_.run = run; }
   // Once a function is known, calls of functions that are not get an error answer (101).
   void knows_function(const std::string& function) { known_functions_.insert(function); }
   // Refuses the first attempt of each call id with this code, not the later ones. 0: refuses none.
--- a/tests/apps/hostile_flood_test.cpp
+++ b/tests/apps/hostile_flood_test.cpp
@@ -4,6 +4,7 @@
 // A real node serves over loopback; the bus and the workers run in this process, the flood on a thread.
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <filesystem>
 
 #include "apps/flood_clients.h"
@@ -137,6 +138,24 @@
   }
 };
 
+// The node stands still while a call waits in its socket. The call's time counts from when it was sent, so it
+// is not served after its due time as if it had just come.
+TEST_F(HostileFlood, NodeThatStoodStillServesNothingLate) {
+  for (std::uint64_t f = 0; f < kFunctions; ++f)
+    client->call(fields(unique_id(), kFirstFunction + f, kCallTimeout), "b");
+  ::laureltide::tests::run_for(loop, 1s);
+  for (const auto& worker : workers) worker->set_run(950ms);
+  node->signal(SIGSTOP);
+  const Time sent_at = loop.now();
+  const std::int32_t number = client->call(fields(unique_id(), kFirstFunction, kCallTimeout), "b");
+  ::laureltide::tests::run_for(loop, 700ms);
+  node->signal(SIGCONT);
+  ASSERT_TRUE(::laureltide::tests::run_until(loop, [&] { return client->replies().contains(number); }))
+      << node->log();
+  EXPECT_LE(loop.now() - sent_at, kCallTimeout + kLateAnswerLimit)
+      << client->replies().find(number)->second.kind;
+}
+
 // Each call names a function that no worker knows.
 TEST_F(HostileFlood, OfNewFunctionNamesDelaysOtherClients) {
   FloodOptions options;
--- a/tests/front/front_test.cpp
+++ b/tests/front/front_test.cpp
@@ -1,6 +1,7 @@
 // Tests the protocol towards the platform's clients: messages, and the handling of misbehaving clients.
 #include <gtest/gtest.h>
 
+#include "front/input_age.h"
 #include "front/server.h"
 #include "sim/network.h"
 #include "standin/platform.h"
@@ -65,11 +66,15 @@
   }();
   Server server{net, options, *this};
   std::vector<std::pair<Server::Ticket, Fields>> calls;
+  std::vector<Time> arrivals;  // of the calls
   std::vector<Server::Ticket> abandoned;
   int anomalies = 0;
 
   void SetUp() override { ASSERT_TRUE(server.listen(kAt)); }
-  void on_call(Server::Ticket t, Fields f, std::string) override { calls.emplace_back(t, std::move(f)); }
+  void on_call(Server::Ticket t, Fields f, std::string, Time arrived) override {
+    calls.emplace_back(t, std::move(f));
+    arrivals.push_back(arrived);
+  }
   void on_gone(Server::Ticket t) override { abandoned.push_back(t); }
   bool healthy() override { return true; }
   void on_anomaly(const std::string&) override { ++anomalies; }
@@ -350,6 +355,47 @@
   EXPECT_TRUE(client.open());
 }
 
+// A call that waited because its client did not read has used up that much of its time.
+TEST_F(FrontTest, ArrivalOfACallCountsTheTimeItWaitedUnread) {
+  PlatformClient client(net, kAt);
+  client.raw(PlatformClient::call_bytes(1, {{"n", "x"}}, ""));
+  net.run_for(10ms);
+  ASSERT_EQ(calls.size(), 1U);
+  EXPECT_GE(arrivals[0], net.now() - 10ms);
+  const Time read_at = net.now();
+  Reply large;
+  large.kind = Reply::Kind::kServed, large.body = std::string(200'000, 'x');
+  client.stop_reading();
+  server.respond(calls[0].first, large);
+  client.raw(PlatformClient::call_bytes(2, {{"n", "x"}}, ""));
+  net.run_for(500ms);
+  client.resume_reading();
+  net.run_for(100ms);
+  ASSERT_EQ(calls.size(), 2U);
+  EXPECT_LE(arrivals[1], read_at + 10ms);
+  client.raw(PlatformClient::call_bytes(3, {{"n", "x"}}, ""));
+  net.run_for(10ms);
+  ASSERT_EQ(calls.size(), 3U);
+  EXPECT_GE(arrivals[2], net.now() - 10ms);
+}
+
+TEST(InputAge, TellsTheArrivalOfEachByte) {
+  const Time start{};
+  InputAge age;
+  age.on_input(10, start + 1s);
+  age.on_input(30, start + 2s);
+  age.on_input(30, start + 3s);  // nothing new
+  EXPECT_EQ(age.arrival_of(9), start + 1s);
+  EXPECT_EQ(age.arrival_of(10), start + 2s);
+  age.on_handled(15);
+  EXPECT_EQ(age.arrival_of(0), start + 2s);
+  age.on_input(16, start + 4s);
+  EXPECT_EQ(age.arrival_of(14), start + 2s);
+  EXPECT_EQ(age.arrival_of(15), start + 4s);
+  for (int i = 0; i < 1000; ++i) age.on_input(17 + static_cast<std::size_t>(i), start + 5s + i * 1s);
+  EXPECT_LE(age.arrival_of(1015), start + 100s);  // bounded: older than it is
+}
+
 // Many clients stop in the middle of a large request.
 TEST_F(FrontTest, HalfRequestsOfAllClientsAreBoundedTogether) {
   ServerOptions small;
--- a/tests/node/race_test.cpp
+++ b/tests/node/race_test.cpp
@@ -63,7 +63,7 @@
   std::size_t gone = 0;
 
   void SetUp() override { ASSERT_TRUE(server.listen({"127.0.0.1", 0})); }
-  void on_call(front::Server::Ticket t, front::Fields, std::string) override { calls.push_back(t); }
+  void on_call(front::Server::Ticket t, front::Fields, std::string, Time) override { calls.push_back(t); }
   void on_gone(front::Server::Ticket) override { ++gone; }
   bool healthy() override { return true; }
   void on_anomaly(const std::string&) override {}
