net: measure a turn of the loop by its poll

longest_turn_ms counted several turns as one while the loop was busy: event_base_loop with EVLOOP_ONCE polls again as long as callbacks are due. A turn is now told by the time of its poll, which libevent caches, and the loop runs as it did before the measurement. TurnClock.MeasuresTheCallbacksAfterOnePoll.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -54,6 +54,22 @@
   return Time(std::chrono::seconds(ts.tv_sec) + std::chrono::nanoseconds(ts.tv_nsec));
 }
 
+// Measures a callback of the loop, from its creation to its end.
+class MeasuredCallback {
+ public:
+  MeasuredCallback(TurnClock& turns, event_base* base) : turns_(turns) {
+    timeval polled{};
+    event_base_gettimeofday_cached(base, &polled);  // the same for all callbacks after one poll
+    turns_.on_callback_start(steady_now(), polled.tv_sec * std::int64_t{1'000'000} + polled.tv_usec);
+  }
+  ~MeasuredCallback() { turns_.on_callback_end(steady_now()); }
+  MeasuredCallback(const MeasuredCallback&) = delete;
+  MeasuredCallback& operator=(const MeasuredCallback&) = delete;
+
+ private:
+  TurnClock& turns_;
+};
+
 bool is_loopback(const io::Address& a) { return a.host.starts_with("127."); }
 
 std::optional<sockaddr_in> to_sockaddr(const io::Address& a) {
@@ -67,12 +83,12 @@
 class LoopTimer : public io::Timer {
  public:
   LoopTimer(event_base* base, TurnClock& turns, std::function<void()> fired)
-      : turns_(turns), fired_(std::move(fired)) {
+      : base_(base), turns_(turns), fired_(std::move(fired)) {
     event_.reset(event_new(
         base, -1, 0,
         [](evutil_socket_t, short, void* raw) {
           auto& self = *static_cast<LoopTimer*>(raw);
-          self.turns_.on_callback(steady_now());
+          const MeasuredCallback measured(self.turns_, self.base_);
           auto fired = self.fired_;  // a copy: the callback may destroy the timer
           fired();
         },
@@ -85,6 +101,7 @@
   void stop() override { event_del(event_.get()); }
 
  private:
+  event_base* base_;
   TurnClock& turns_;
   std::function<void()> fired_;
   EventPtr event_;
@@ -163,7 +180,7 @@
  public:
   Stream(event_base* base, evutil_socket_t fd, const io::StreamOptions& options, Lingering::All& lingering,
          TurnClock& turns)
-      : lingering_(lingering), turns_(turns) {
+      : base_(base), lingering_(lingering), turns_(turns) {
     stream_.reset(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
     bufferevent_setcb(stream_.get(), on_read, on_write, on_event, this);
     bufferevent_setwatermark(stream_.get(), EV_READ, 0, options.read_ahead);
@@ -238,7 +255,7 @@
         base, -1, 0,
         [](evutil_socket_t, short, void* raw) {
           auto& self = *static_cast<Stream*>(raw);
-          self.turns_.on_callback(steady_now());
+          const MeasuredCallback measured(self.turns_, self.base_);
           if (!self.closed_) self.deferred_(self);
         },
         this));
@@ -252,7 +269,7 @@
   }
   static void on_read(bufferevent* b, void* raw) {
     auto& self = *static_cast<Stream*>(raw);
-    self.turns_.on_callback(steady_now());
+    const MeasuredCallback measured(self.turns_, self.base_);
     if (self.closed_ || !(bufferevent_get_enabled(b) & EV_READ)) return;
     evbuffer* in = bufferevent_get_input(b);
     const std::size_t size = evbuffer_get_length(in);
@@ -264,13 +281,13 @@
   }
   static void on_write(bufferevent*, void* raw) {
     auto& self = *static_cast<Stream*>(raw);
-    self.turns_.on_callback(steady_now());
+    const MeasuredCallback measured(self.turns_, self.base_);
     if (!self.closed_ && self.open_ && std::exchange(self.above_watermark_, false))
       self.events_->on_drained();
   }
   static void on_event(bufferevent* b, short what, void* raw) {
     auto& self = *static_cast<Stream*>(raw);
-    self.turns_.on_callback(steady_now());
+    const MeasuredCallback measured(self.turns_, self.base_);
     if (self.closed_) return;
     if (what & BEV_EVENT_CONNECTED) {
       set_no_delay(bufferevent_getfd(b));
@@ -287,6 +304,7 @@
     events_->on_closed(why);
   }
 
+  event_base* base_;
   Lingering::All& lingering_;
   TurnClock& turns_;
   BufferEventPtr stream_;
@@ -352,7 +370,7 @@
   }
   static void accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* raw) {
     auto& self = *static_cast<LoopListener*>(raw);
-    self.turns_.on_callback(steady_now());
+    const MeasuredCallback measured(self.turns_, self.base_);
     auto stream = std::make_unique<Stream>(self.base_, fd, self.options_, self.lingering_, self.turns_);
     Stream* accepted_stream = stream.get();
     io::ConnectionEvents* events = self.accept_(std::move(stream));
@@ -399,7 +417,7 @@
       const std::lock_guard lock(mutex);
       all.swap(posted);
     }
-    turns.on_callback(steady_now());
+    const MeasuredCallback measured(turns, base.get());
     for (const auto& task : all) task();
   }
   ~Impl() {
@@ -494,12 +512,7 @@
 
 Duration Loop::take_longest_turn() { return impl_->turns.take_longest(); }
 
-void Loop::run() {
-  do {
-    event_base_loop(impl_->base.get(), EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
-    impl_->turns.on_iteration_end(now());
-  } while (!event_base_got_break(impl_->base.get()));
-}
+void Loop::run() { event_base_loop(impl_->base.get(), EVLOOP_NO_EXIT_ON_EMPTY); }
 void Loop::stop() { event_base_loopbreak(impl_->base.get()); }
 
 }  // namespace laureltide::net
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <sys/resource.h>
 
+#include "net/turn_clock.h"
 #include "sockets.h"
 
 namespace laureltide::net {
@@ -156,5 +157,19 @@
   close(client);
 }
 
+// Callbacks after one poll make one turn; the time between polls is not counted.
+TEST(TurnClock, MeasuresTheCallbacksAfterOnePoll) {
+  TurnClock clock;
+  const Time start{};
+  clock.on_callback_start(start, 1);
+  clock.on_callback_end(start + 3ms);
+  clock.on_callback_start(start + 4ms, 1);
+  clock.on_callback_end(start + 7ms);
+  clock.on_callback_start(start + 900ms, 2);
+  clock.on_callback_end(start + 902ms);
+  EXPECT_EQ(clock.take_longest(), Duration(7ms));
+  EXPECT_EQ(clock.take_longest(), Duration(0));
+}
+
 }  // namespace
 }  // namespace laureltide::net
