--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -205,6 +205,7 @@
     if (stream_) stream_->write(scratch_);
     scratch_.clear();
     if (!stream_ || held_back_since_ || stream_->unsent() <= server_.options_.pause_unsent_bytes) return;
+    server_.events_.on_anomaly("a client does not read its answers: its messages wait");
     held_back_since_ = server_.host_.now();
     was_full_ = true;
     stream_->read(false);
